--- /dev/null
+++ b/Utilities/CMake/RagwortTargets.cmake
@@ -0,0 +1,32 @@
+# ragwort_library(<Part> <links>...) builds Source/<Part>/*.cxx as one static
+# library named Ragwort<Part>.
+function(ragwort_library aPart)
+  file(GLOB sources CONFIGURE_DEPENDS ${CMAKE_CURRENT_SOURCE_DIR}/*.cxx)
+  if(sources)
+    add_library(Ragwort${aPart} STATIC ${sources})
+    target_link_libraries(Ragwort${aPart} PUBLIC ${ARGN})
+  else()
+    add_library(Ragwort${aPart} INTERFACE)
+    target_link_libraries(Ragwort${aPart} INTERFACE ${ARGN})
+  endif()
+endfunction()
+
+# ragwort_test(<Part> <links>...) builds the *.cxx files of the current
+# directory as the CppUnit runner test-<part> and registers it with CTest.
+function(ragwort_test aPart)
+  file(GLOB sources CONFIGURE_DEPENDS ${CMAKE_CURRENT_SOURCE_DIR}/*.cxx)
+  string(TOLOWER ${aPart} part)
+  add_executable(test-${part} ${sources})
+  target_link_libraries(test-${part} PRIVATE RagwortTestSupport ${ARGN})
+  add_test(NAME ${aPart} COMMAND test-${part})
+  set_tests_properties(${aPart} PROPERTIES TIMEOUT 600)
+endfunction()
+
+# ragwort_program(<name> <file> <links>...) builds one binary from one main
+# file.
+function(ragwort_program aName aFile)
+  add_executable(${aName} ${aFile})
+  target_link_libraries(${aName} PRIVATE ${ARGN})
+  target_compile_definitions(${aName} PRIVATE
+    RAGWORT_VERSION="${PROJECT_VERSION}")
+endfunction()
