--- /dev/null
+++ b/Source/Filters/RequestScanner.cxx
@@ -0,0 +1,222 @@
+#include "Filters/RequestScanner.h"
+
+#include <algorithm>
+#include <cctype>
+#include <charconv>
+
+namespace ragwortdeck {
+
+namespace {
+
+constexpr std::size_t kMaxChunkLineBytes = 256;
+constexpr int kHexBase = 16;
+constexpr int kDecimalBase = 10;
+
+std::string
+ToLower(std::string_view aText)
+{
+  std::string text(aText);
+  std::transform(text.begin(), text.end(), text.begin(), [](unsigned char c) {
+    return char(std::tolower(c));
+  });
+  return text;
+}
+
+std::string_view
+Trim(std::string_view aText)
+{
+  const auto first = aText.find_first_not_of(" \t");
+  if (first == std::string_view::npos) {
+    return {};
+  }
+  return aText.substr(first, aText.find_last_not_of(" \t") - first + 1);
+}
+
+bool
+ParseNumber(std::string_view aText, int aBase, std::uint64_t& aValue)
+{
+  const auto* end = aText.data() + aText.size();
+  const auto [rest, ec] = std::from_chars(aText.data(), end, aValue, aBase);
+  return ec == std::errc() && rest == end && !aText.empty();
+}
+
+} // namespace
+
+void
+RequestScanner::Reset()
+{
+  *this = RequestScanner(mMaxHeaderBytes, mMaxBodyBytes);
+}
+
+RequestScanner::State
+RequestScanner::Feed(std::string_view aBytes)
+{
+  std::size_t at = 0;
+  while (at < aBytes.size()) {
+    switch (mState) {
+      case State::kHeader:
+        AcceptHeaderByte(aBytes[at]);
+        ++at;
+        break;
+      case State::kBody:
+        at += mIsChunked ? AcceptChunked(aBytes.substr(at))
+                         : AcceptBody(aBytes.substr(at));
+        break;
+      case State::kComplete:
+        mState = State::kPipelined;
+        return mState;
+      default:
+        return mState;
+    }
+  }
+  return mState;
+}
+
+void
+RequestScanner::AcceptHeaderByte(char aByte)
+{
+  if (++mHeaderBytes > mMaxHeaderBytes) {
+    mState = State::kHeaderTooLarge;
+    return;
+  }
+  if (aByte != '\n') {
+    mLine += aByte;
+    return;
+  }
+  if (!mLine.empty() && mLine.back() == '\r') {
+    mLine.pop_back();
+  }
+  AcceptLine();
+  mLine.clear();
+}
+
+void
+RequestScanner::AcceptLine()
+{
+  if (mIsFirstLine) {
+    // An empty line before the request line is allowed (RFC 9112, 2.2).
+    if (!mLine.empty()) {
+      mIsFirstLine = false;
+      mIsHttp10 = mLine.ends_with("HTTP/1.0");
+    }
+    return;
+  }
+  if (mLine.empty()) {
+    EndHeader();
+    return;
+  }
+  const auto colon = mLine.find(':');
+  // Continuation lines are obsolete and make the framing ambiguous.
+  if (colon == std::string::npos || mLine.front() == ' ' ||
+      mLine.front() == '\t') {
+    mState = State::kMalformed;
+    return;
+  }
+  const std::string_view line = mLine;
+  AcceptField(line.substr(0, colon), Trim(line.substr(colon + 1)));
+}
+
+void
+RequestScanner::AcceptField(std::string_view aName, std::string_view aValue)
+{
+  const auto name = ToLower(aName);
+  const auto value = ToLower(aValue);
+  if (name == "content-length") {
+    if (mHasLength || !ParseNumber(value, kDecimalBase, mLeft)) {
+      mState = State::kMalformed;
+    }
+    mHasLength = true;
+  } else if (name == "transfer-encoding") {
+    if (mIsChunked || value != "chunked") {
+      mState = State::kMalformed;
+    }
+    mIsChunked = true;
+  } else if (name == "connection") {
+    mWantsClose = mWantsClose || value.find("close") != std::string::npos;
+  } else if (name == "expect") {
+    mWantsContinue = value == "100-continue";
+  }
+}
+
+void
+RequestScanner::EndHeader()
+{
+  mWantsClose = mWantsClose || mIsHttp10;
+  // Both framings together allow request smuggling (RFC 9112, 6.1).
+  if (mIsChunked && mHasLength) {
+    mState = State::kMalformed;
+  } else if (mIsChunked) {
+    mState = State::kBody;
+  } else if (mLeft > mMaxBodyBytes) {
+    mState = State::kBodyTooLarge;
+  } else {
+    mState = mLeft > 0 ? State::kBody : State::kComplete;
+  }
+}
+
+std::size_t
+RequestScanner::AcceptBody(std::string_view aBytes)
+{
+  const auto n = std::min<std::uint64_t>(aBytes.size(), mLeft);
+  mLeft -= n;
+  if (mLeft == 0) {
+    mState = State::kComplete;
+  }
+  return std::size_t(n);
+}
+
+std::size_t
+RequestScanner::AcceptChunked(std::string_view aBytes)
+{
+  if (mChunk == Chunk::kData) {
+    const auto n = std::min<std::uint64_t>(aBytes.size(), mLeft);
+    mLeft -= n;
+    if (mLeft == 0) {
+      mChunk = Chunk::kDataEnd;
+    }
+    return std::size_t(n);
+  }
+  const char byte = aBytes.front();
+  if (byte != '\n') {
+    mLine += byte;
+    if (mLine.size() > kMaxChunkLineBytes) {
+      mState = State::kMalformed;
+    }
+    return 1;
+  }
+  if (!mLine.empty() && mLine.back() == '\r') {
+    mLine.pop_back();
+  }
+  AcceptChunkLine();
+  mLine.clear();
+  return 1;
+}
+
+void
+RequestScanner::AcceptChunkLine()
+{
+  switch (mChunk) {
+    case Chunk::kDataEnd:
+      mState = mLine.empty() ? mState : State::kMalformed;
+      mChunk = Chunk::kSize;
+      return;
+    case Chunk::kTrailer:
+      mState = mLine.empty() ? State::kComplete : mState;
+      return;
+    default:
+      break;
+  }
+  const auto size = Trim(std::string_view(mLine).substr(0, mLine.find(';')));
+  if (!ParseNumber(size, kHexBase, mLeft)) {
+    mState = State::kMalformed;
+    return;
+  }
+  if (mLeft > mMaxBodyBytes || mBodyBytes + mLeft > mMaxBodyBytes) {
+    mState = State::kBodyTooLarge;
+    return;
+  }
+  mBodyBytes += mLeft;
+  mChunk = mLeft == 0 ? Chunk::kTrailer : Chunk::kData;
+}
+
+} // namespace ragwortdeck
