Filters, Programs: Add the request path, ragwort-router and ragwort-load

First whole path: filters, relay sessions, service look-ups, threads on one SO_REUSEPORT address, shutdown, load tool. Builds; not yet run end to end.

--- /dev/null
+++ b/Source/Filters/CallerServer.cxx
@@ -0,0 +1,361 @@
+#include "Filters/CallerServer.h"
+
+#include "Filters/HttpText.h"
+
+#include <QSslServer>
+#include <QSslSocket>
+#include <arpa/inet.h>
+#include <cerrno>
+#include <cstring>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+#include <unistd.h>
+#include <vector>
+
+namespace ragwortdeck {
+
+namespace {
+
+constexpr int kBacklog = 4096;
+constexpr std::chrono::seconds kAgePeriod{ 1 };
+/// How long a refused connection may go on sending before it is cut off.
+constexpr std::chrono::seconds kLinger{ 2 };
+constexpr std::chrono::seconds kRetryAfterFull{ 1 };
+
+Verdict
+NotRun(int aStatus, std::string aCode, std::string aMessage)
+{
+  return { RunState::kNotRun,
+           aStatus,
+           std::move(aCode),
+           std::move(aMessage),
+           std::chrono::milliseconds(0) };
+}
+
+/// Listens on plain sockets or, with QSslServer as base, on TLS.
+template<typename Base>
+class GatedServer : public Base
+{
+public:
+  explicit GatedServer(CallerConnections& aConnections)
+    : mConnections(aConnections)
+  {
+    this->setMaxPendingConnections(kBacklog);
+  }
+
+  // QHttpServer takes each connection here and connects to readyRead after
+  // this returns, so the gate's slot runs first.
+  // NOLINTNEXTLINE(readability-identifier-naming)
+  QTcpSocket* nextPendingConnection() override
+  {
+    while (auto* socket = Base::nextPendingConnection()) {
+      if (mConnections.Admit(*socket)) {
+        return socket;
+      }
+    }
+    return nullptr;
+  }
+
+private:
+  CallerConnections& mConnections;
+};
+
+/// Socket address of an endpoint.
+struct SocketAddress
+{
+  sockaddr_storage mStorage{};
+  socklen_t mSize = 0;
+};
+
+std::optional<SocketAddress>
+ToSocketAddress(const Endpoint& aEndpoint)
+{
+  SocketAddress address;
+  auto* v4 = reinterpret_cast<sockaddr_in*>(&address.mStorage);
+  auto* v6 = reinterpret_cast<sockaddr_in6*>(&address.mStorage);
+  if (inet_pton(AF_INET, aEndpoint.mAddress.c_str(), &v4->sin_addr) == 1) {
+    v4->sin_family = AF_INET;
+    v4->sin_port = htons(aEndpoint.mPort);
+    address.mSize = sizeof(*v4);
+    return address;
+  }
+  if (inet_pton(AF_INET6, aEndpoint.mAddress.c_str(), &v6->sin6_addr) == 1) {
+    v6->sin6_family = AF_INET6;
+    v6->sin6_port = htons(aEndpoint.mPort);
+    address.mSize = sizeof(*v6);
+    return address;
+  }
+  errno = EINVAL;
+  return std::nullopt;
+}
+
+int
+OpenBound(const Endpoint& aEndpoint, bool aReusePort)
+{
+  const auto address = ToSocketAddress(aEndpoint);
+  if (!address) {
+    return -1;
+  }
+  const int fd = socket(address->mStorage.ss_family,
+                        SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC,
+                        0);
+  if (fd < 0) {
+    return -1;
+  }
+  const int on = 1;
+  setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
+  if (aReusePort) {
+    setsockopt(fd, SOL_SOCKET, SO_REUSEPORT, &on, sizeof(on));
+  }
+  const auto* generic = reinterpret_cast<const sockaddr*>(&address->mStorage);
+  if (bind(fd, generic, address->mSize) != 0) {
+    const int error = errno;
+    close(fd);
+    errno = error;
+    return -1;
+  }
+  return fd;
+}
+
+} // namespace
+
+CallerGate::CallerGate(QTcpSocket& aSocket, CallerConnections& aOwner)
+  : QObject(&aSocket)
+  , mSocket(aSocket)
+  , mOwner(aOwner)
+  , mScanner(aOwner.Limits().mMaxHeaderBytes, aOwner.Limits().mMaxBodyBytes)
+  , mSince(std::chrono::steady_clock::now())
+{
+  connect(
+    &mSocket, &QTcpSocket::readyRead, this, [this] { OnReadyRead(); });
+}
+
+CallerGate::~CallerGate()
+{
+  mOwner.mGates.erase(&mSocket);
+}
+
+bool
+CallerGate::ClosesAfterReply() const
+{
+  return mSawPipelined || mScanner.WantsClose();
+}
+
+void
+CallerGate::OnReadyRead()
+{
+  if (mIsClosing || mSawPipelined) {
+    mSocket.readAll();
+    return;
+  }
+  // QHttpServer reads inside a transaction, so this sees only new bytes.
+  const auto bytes = mSocket.peek(mSocket.bytesAvailable());
+  if (bytes.isEmpty()) {
+    return;
+  }
+  if (mIsReplying) {
+    // QHttpServer would start the next request before this reply is complete.
+    mSawPipelined = true;
+    Detach();
+    return;
+  }
+  if (!mScanner.HasStarted()) {
+    mSince = std::chrono::steady_clock::now();
+  }
+  const bool waited = mScanner.WantsContinue();
+  const auto state =
+    mScanner.Feed({ bytes.constData(), std::size_t(bytes.size()) });
+  switch (state) {
+    case RequestScanner::State::kHeader:
+      return;
+    case RequestScanner::State::kBody:
+      if (mScanner.WantsContinue() && !waited) {
+        mSocket.write("HTTP/1.1 100 Continue\r\n\r\n");
+      }
+      return;
+    case RequestScanner::State::kComplete:
+      mIsReplying = true;
+      return;
+    case RequestScanner::State::kHeaderTooLarge:
+      Refuse(NotRun(431,
+                    "header_too_large",
+                    "The header exceeds " +
+                      std::to_string(mOwner.Limits().mMaxHeaderBytes) +
+                      " bytes."));
+      return;
+    case RequestScanner::State::kBodyTooLarge:
+      Refuse(NotRun(413,
+                    "body_too_large",
+                    "The body exceeds " +
+                      std::to_string(mOwner.Limits().mMaxBodyBytes) +
+                      " bytes."));
+      return;
+    case RequestScanner::State::kMalformed:
+      Refuse(NotRun(400, "bad_request", "The request is not valid HTTP/1.1."));
+      return;
+    case RequestScanner::State::kPipelined:
+      Refuse(NotRun(400,
+                    "pipelining_not_supported",
+                    "Wait for each reply before the next request."));
+      return;
+  }
+}
+
+void
+CallerGate::Refuse(const Verdict& aVerdict)
+{
+  mOwner.mOnRefused(aVerdict);
+  mSocket.write(RefusalReply(aVerdict, { { "Connection", "close" } }));
+  Linger();
+}
+
+void
+CallerGate::Detach()
+{
+  disconnect(&mSocket, &QTcpSocket::readyRead, mOwner.mHttpServer, nullptr);
+  if (mSocket.isTransactionStarted()) {
+    mSocket.commitTransaction();
+  }
+  mSocket.readAll();
+}
+
+void
+CallerGate::Linger()
+{
+  mIsClosing = true;
+  Detach();
+  mSocket.flush();
+  if (qobject_cast<QSslSocket*>(&mSocket)) {
+    mSocket.disconnectFromHost();
+  } else if (mSocket.bytesToWrite() == 0) {
+    shutdown(int(mSocket.socketDescriptor()), SHUT_WR);
+  }
+  QTimer::singleShot(kLinger, &mSocket, [this] { mSocket.abort(); });
+}
+
+void
+CallerGate::OnReplied(bool aClose)
+{
+  mIsReplying = false;
+  mSince = std::chrono::steady_clock::now();
+  if (aClose || ClosesAfterReply()) {
+    mIsClosing = true;
+    mSocket.disconnectFromHost();
+    return;
+  }
+  mScanner.Reset();
+}
+
+void
+CallerGate::CheckAge(std::chrono::steady_clock::time_point aNow)
+{
+  if (mIsReplying || mIsClosing) {
+    return;
+  }
+  const auto age = aNow - mSince;
+  if (mScanner.HasStarted()) {
+    if (age > mOwner.Limits().mRequest) {
+      Refuse(NotRun(408, "request_timeout", "The request did not arrive."));
+    }
+  } else if (age > mOwner.Limits().mIdle) {
+    mIsClosing = true;
+    mSocket.disconnectFromHost();
+  }
+}
+
+CallerConnections::CallerConnections(ConnectionLimits aLimits,
+                                     OnRefused aOnRefused)
+  : mLimits(aLimits)
+  , mOnRefused(std::move(aOnRefused))
+{
+  connect(&mAgeTimer, &QTimer::timeout, this, [this] {
+    const auto now = std::chrono::steady_clock::now();
+    std::vector<CallerGate*> gates;
+    gates.reserve(mGates.size());
+    for (const auto& [socket, gate] : mGates) {
+      gates.push_back(gate);
+    }
+    for (auto* gate : gates) {
+      gate->CheckAge(now);
+    }
+  });
+  mAgeTimer.start(kAgePeriod);
+}
+
+bool
+CallerConnections::Admit(QTcpSocket& aSocket)
+{
+  if (mGates.size() < mLimits.mMaxConnections) {
+    aSocket.setSocketOption(QAbstractSocket::LowDelayOption, 1);
+    mGates.emplace(&aSocket, new CallerGate(aSocket, *this));
+    return true;
+  }
+  Verdict verdict =
+    NotRun(503, "too_many_connections", "This host has no free connection.");
+  verdict.mRetryAfter = kRetryAfterFull;
+  mOnRefused(verdict);
+  aSocket.write(RefusalReply(verdict, { { "Connection", "close" } }));
+  connect(&aSocket,
+          &QTcpSocket::disconnected,
+          &aSocket,
+          &QObject::deleteLater);
+  aSocket.disconnectFromHost();
+  return false;
+}
+
+CallerGate*
+CallerConnections::Find(const QTcpSocket* aSocket)
+{
+  const auto found = mGates.find(aSocket);
+  return found == mGates.end() ? nullptr : found->second;
+}
+
+int
+OpenReusablePort(const Endpoint& aEndpoint)
+{
+  const int fd = OpenBound(aEndpoint, true);
+  if (fd >= 0 && listen(fd, kBacklog) != 0) {
+    const int error = errno;
+    close(fd);
+    errno = error;
+    return -1;
+  }
+  return fd;
+}
+
+Result<std::uint16_t>
+CheckAddress(const Endpoint& aEndpoint)
+{
+  const int fd = OpenBound(aEndpoint, false);
+  if (fd < 0) {
+    const auto code = errno == EADDRINUSE ? ErrorCode::kAddressInUse
+                                          : ErrorCode::kUnavailable;
+    return Failure(code,
+                   "cannot listen on " + ToText(aEndpoint) + ": " +
+                     std::strerror(errno));
+  }
+  sockaddr_storage storage{};
+  socklen_t size = sizeof(storage);
+  getsockname(fd, reinterpret_cast<sockaddr*>(&storage), &size);
+  close(fd);
+  const auto port =
+    storage.ss_family == AF_INET6
+      ? reinterpret_cast<const sockaddr_in6*>(&storage)->sin6_port
+      : reinterpret_cast<const sockaddr_in*>(&storage)->sin_port;
+  return std::uint16_t(ntohs(port));
+}
+
+std::unique_ptr<QTcpServer>
+MakeCallerServer(CallerConnections& aConnections,
+                 const std::optional<QSslConfiguration>& aTls)
+{
+  if (!aTls) {
+    return std::make_unique<GatedServer<QTcpServer>>(aConnections);
+  }
+  auto server = std::make_unique<GatedServer<QSslServer>>(aConnections);
+  server->setSslConfiguration(*aTls);
+  return server;
+}
+
+} // namespace ragwortdeck
--- /dev/null
+++ b/Source/Filters/CallerServer.h
@@ -0,0 +1,111 @@
+#pragma once
+
+#include "Core/Result.h"
+#include "Core/Settings.h"
+#include "Core/Verdict.h"
+#include "Filters/RequestScanner.h"
+
+#include <QSslConfiguration>
+#include <QTcpServer>
+#include <QTcpSocket>
+#include <QTimer>
+#include <chrono>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <unordered_map>
+
+namespace ragwortdeck {
+
+/// \brief Limits of callers' connections, per thread.
+struct ConnectionLimits
+{
+  std::size_t mMaxHeaderBytes = 16 << 10;
+  std::size_t mMaxBodyBytes = 1 << 20;
+  std::size_t mMaxConnections = 10'000;
+  /// Limit between a reply and the next request on a connection.
+  std::chrono::milliseconds mIdle{ 60'000 };
+  /// Limit from the first to the last byte of a request.
+  std::chrono::milliseconds mRequest{ 30'000 };
+
+  bool operator==(const ConnectionLimits&) const = default;
+};
+
+class CallerConnections;
+
+/// \brief Enforces the limits on one connection, before QHttpServer sees the
+/// bytes.
+class CallerGate : public QObject
+{
+public:
+  CallerGate(QTcpSocket& aSocket, CallerConnections& aOwner);
+  ~CallerGate() override;
+
+  /// Call when the reply to the current request is complete.
+  void OnReplied(bool aClose);
+  bool IsHttp10() const { return mScanner.IsHttp10(); }
+  bool ClosesAfterReply() const;
+  /// Closes the connection when it has been idle or incomplete for too long.
+  void CheckAge(std::chrono::steady_clock::time_point aNow);
+
+private:
+  void OnReadyRead();
+  void Refuse(const Verdict& aVerdict);
+  /// Keeps QHttpServer from reading any more of this connection.
+  void Detach();
+  /// Ends the connection after a refusal, reading what the caller still sends,
+  /// because closing with unread bytes would destroy the reply in flight.
+  void Linger();
+
+  QTcpSocket& mSocket;
+  CallerConnections& mOwner;
+  RequestScanner mScanner;
+  bool mIsReplying = false;
+  bool mIsClosing = false;
+  bool mSawPipelined = false;
+  std::chrono::steady_clock::time_point mSince;
+};
+
+/// \brief The callers' connections of one thread.
+class CallerConnections : public QObject
+{
+public:
+  using OnRefused = std::function<void(const Verdict&)>;
+
+  CallerConnections(ConnectionLimits aLimits, OnRefused aOnRefused);
+
+  /// The QHttpServer that reads the connections.
+  void SetHttpServer(QObject& aServer) { mHttpServer = &aServer; }
+  /// Installs the gate, or refuses the connection when there are too many.
+  /// Returns false when refused.
+  bool Admit(QTcpSocket& aSocket);
+  /// nullptr for an unknown socket.
+  CallerGate* Find(const QTcpSocket* aSocket);
+  const ConnectionLimits& Limits() const { return mLimits; }
+  std::size_t Count() const { return mGates.size(); }
+
+private:
+  friend class CallerGate;
+  ConnectionLimits mLimits;
+  OnRefused mOnRefused;
+  QObject* mHttpServer = nullptr;
+  std::unordered_map<const QTcpSocket*, CallerGate*> mGates;
+  QTimer mAgeTimer;
+};
+
+/// A listening socket with SO_REUSEPORT; -1 with errno set on failure. Port 0
+/// chooses a free port.
+int
+OpenReusablePort(const Endpoint& aEndpoint);
+
+/// Fails with kAddressInUse when another process listens at the address, which
+/// SO_REUSEPORT would hide. Returns the port, chosen for port 0.
+Result<std::uint16_t>
+CheckAddress(const Endpoint& aEndpoint);
+
+/// A server whose connections pass the gate; with TLS when aTls is set.
+std::unique_ptr<QTcpServer>
+MakeCallerServer(CallerConnections& aConnections,
+                 const std::optional<QSslConfiguration>& aTls);
+
+} // namespace ragwortdeck
--- /dev/null
+++ b/Source/Filters/HttpText.h
@@ -0,0 +1,40 @@
+#pragma once
+
+#include "Core/Verdict.h"
+
+#include <QByteArray>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+namespace ragwortdeck {
+
+using HttpHeaders = std::vector<std::pair<std::string, std::string>>;
+
+constexpr int kStatusOk = 200;
+
+/// "HTTP/1.1 <status> <reason>" with the headers and the end of the header.
+QByteArray
+ReplyHead(int aStatus, const HttpHeaders& aHeaders);
+
+/// A complete reply with its Content-Length.
+QByteArray
+WholeReply(int aStatus,
+           std::string_view aType,
+           std::string_view aBody,
+           HttpHeaders aHeaders);
+
+/// The error body of a refused request.
+QByteArray
+ErrorBody(const Verdict& aVerdict);
+
+/// X-Ragwort-Verdict, and Retry-After in whole seconds when waiting helps.
+HttpHeaders
+VerdictHeaders(const Verdict& aVerdict);
+
+/// A complete reply that refuses a request.
+QByteArray
+RefusalReply(const Verdict& aVerdict, HttpHeaders aHeaders);
+
+} // namespace ragwortdeck
--- /dev/null
+++ b/Source/Filters/RequestEnvironment.h
@@ -0,0 +1,68 @@
+#pragma once
+
+#include "Core/KeyRing.h"
+#include "Core/QtScheduler.h"
+#include "Filters/ActionHook.h"
+#include "Filters/CancelQueue.h"
+#include "Filters/DispatcherHub.h"
+#include "Filters/RetryAllowance.h"
+#include "Filters/RouterMetrics.h"
+#include "Filters/RouterSettings.h"
+#include "Filters/SiteViewHolder.h"
+#include "Targets/CurlMulti.h"
+
+#include <atomic>
+#include <functional>
+
+namespace ragwortdeck {
+
+/// How far a shutdown has come.
+enum class ShutdownPhase : std::uint8_t
+{
+  kServing,
+  /// /readyz is off; new work is still served.
+  kGrace,
+  /// New work is refused.
+  kDraining,
+};
+
+/// \brief What all threads of a router share.
+struct RouterShared
+{
+  RouterShared(RouterSettings aSettings,
+               KeyRing aKeys,
+               std::unique_ptr<Dispatcher> aDispatcher,
+               ActionHook aActionHook)
+    : mSettings(std::move(aSettings))
+    , mKeys(std::move(aKeys))
+    , mView(mSettings.mBootstrapView ? mSettings.mBootstrapView
+                                     : std::make_shared<const SiteView>())
+    , mHub(std::move(aDispatcher))
+    , mRetries(mSettings.mPhases.mRetryShare)
+    , mActionHook(std::move(aActionHook))
+  {
+  }
+
+  const RouterSettings mSettings;
+  const KeyRing mKeys;
+  SiteViewHolder mView;
+  DispatcherHub mHub;
+  RetryAllowance mRetries;
+  const ActionHook mActionHook;
+  std::atomic<ShutdownPhase> mShutdown{ ShutdownPhase::kServing };
+  std::function<std::string()> mMetricsText;
+};
+
+/// \brief What the request path of one thread uses.
+struct RequestEnvironment
+{
+  RouterShared& mShared;
+  QtScheduler& mScheduler;
+  CurlMulti& mCurl;
+  CancelQueue& mCancels;
+  RouterMetrics& mMetrics;
+  /// Lives on the thread's event loop.
+  QObject& mThreadContext;
+};
+
+} // namespace ragwortdeck
--- /dev/null
+++ b/Source/Filters/RouterSettings.cxx
@@ -0,0 +1,284 @@
+#include "Filters/RouterSettings.h"
+
+#include <QFile>
+#include <QSslCertificate>
+#include <QSslKey>
+
+namespace ragwortdeck {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr milliseconds kHour{ 3'600'000 };
+constexpr std::int64_t kMaxUint32 = 4'294'967'295;
+
+std::uint32_t
+Unsigned(SettingsSection& aSection,
+         const std::string& aKey,
+         std::uint32_t aFallback,
+         std::int64_t aMin,
+         std::int64_t aMax)
+{
+  return std::uint32_t(aSection.Integer(aKey, aFallback, aMin, aMax));
+}
+
+template<typename Name>
+std::vector<Name>
+Names(SettingsSection& aSection, const std::string& aKey)
+{
+  std::vector<Name> names;
+  for (auto& text : aSection.StringList(aKey)) {
+    names.emplace_back(std::move(text));
+  }
+  return names;
+}
+
+TeamRow
+ReadTeam(SettingsSection& aSection)
+{
+  TeamRow row;
+  row.mTeam = TeamName(aSection.RequiredString("team"));
+  row.mShare = Unsigned(aSection, "share", 100, 1, 1000);
+  row.mMaxConcurrent = Unsigned(aSection, "max_concurrent", 0, 0, kMaxUint32);
+  row.mTokensPerSecond =
+    Unsigned(aSection, "tokens_per_second", 0, 0, kMaxUint32);
+  row.mPriority = Unsigned(aSection, "priority", 5, 0, 9);
+  return row;
+}
+
+KindRow
+ReadKind(SettingsSection& aSection)
+{
+  KindRow row;
+  row.mKind = KindName(aSection.RequiredString("kind"));
+  row.mClass = aSection.Choice("class", { "short", "long" }, "long") == "short"
+                 ? KindClass::kShort
+                 : KindClass::kLong;
+  row.mDeadlineSeconds = Unsigned(aSection, "deadline_s", 600, 1, 86'400);
+  row.mPriority = Unsigned(aSection, "priority", 5, 0, 9);
+  row.mMaxOutputTokens =
+    Unsigned(aSection, "max_output_tokens", 32'768, 1, kMaxUint32);
+  const auto repeat =
+    aSection.Choice("repeat", { "idempotent", "at-most-once" }, "idempotent");
+  row.mRepeat = repeat == "idempotent" ? RepeatRule::kIdempotent
+                                       : RepeatRule::kAtMostOnce;
+  row.mReservedPercent = Unsigned(aSection, "reserved_percent", 0, 0, 100);
+  return row;
+}
+
+ModelRow
+ReadModel(SettingsSection& aSection)
+{
+  ModelRow row;
+  row.mModel = ModelName(aSection.RequiredString("model"));
+  row.mReplicas = Unsigned(aSection, "replicas", 1, 0, 100'000);
+  row.mVersion = aSection.String("version", "");
+  row.mAdapters = aSection.StringList("adapters");
+  return row;
+}
+
+Target
+ReadTarget(SettingsSection& aSection)
+{
+  Target target;
+  target.mId = TargetId(aSection.RequiredString("id"));
+  target.mRole =
+    aSection.Choice("role", { "engine", "service" }, "engine") == "engine"
+      ? TargetRole::kEngine
+      : TargetRole::kService;
+  const auto state =
+    aSection.Choice("state", { "live", "leaving", "down" }, "live");
+  target.mState = state == "live"      ? TargetState::kLive
+                  : state == "leaving" ? TargetState::kLeaving
+                                       : TargetState::kDown;
+  target.mFailureDomain =
+    FailureDomain(aSection.String("failure_domain", "default"));
+  target.mAddress = ToText(aSection.RequiredEndpoint("address"));
+  target.mModels = Names<ModelName>(aSection, "models");
+  target.mAdapters = aSection.StringList("adapters");
+  target.mChecksFencing = aSection.Boolean("checks_fencing", false);
+  target.mLoad.mMemoryTokens =
+    std::uint64_t(aSection.Integer("memory_tokens", 0, 0, INT64_MAX));
+  target.mLoad.mMaxBatch = Unsigned(aSection, "max_batch", 0, 0, kMaxUint32);
+  return target;
+}
+
+std::vector<SharedKey>
+ReadKeys(SettingsSection& aRoot)
+{
+  std::vector<SharedKey> keys;
+  for (auto& section : aRoot.Sections("keys")) {
+    keys.push_back(
+      { section.RequiredString("id"), section.RequiredString("secret") });
+  }
+  const auto ring = KeyRing::Create(keys);
+  if (!ring) {
+    aRoot.Reject("keys", "expected valid keys: " + ring.error().mMessage);
+  }
+  return keys;
+}
+
+void
+ReadLimits(SettingsSection aSection, RouterSettings& aSettings)
+{
+  auto& connections = aSettings.mConnections;
+  connections.mMaxBodyBytes = std::size_t(
+    aSection.Integer("max_body_bytes", 1 << 20, 1, std::int64_t(1) << 30));
+  connections.mMaxHeaderBytes =
+    std::size_t(aSection.Integer("max_header_bytes", 16 << 10, 256, 1 << 20));
+  const auto total =
+    aSection.Integer("max_connections", 20'000, 1, 1'000'000);
+  const auto threads = std::int64_t(aSettings.mThreads);
+  connections.mMaxConnections = std::size_t((total + threads - 1) / threads);
+  connections.mIdle = aSection.Milliseconds(
+    "idle_timeout_ms", connections.mIdle, milliseconds(100), kHour);
+  connections.mRequest = aSection.Milliseconds(
+    "request_timeout_ms", connections.mRequest, milliseconds(100), kHour);
+  auto& buffers = aSettings.mBuffers;
+  buffers.mHighBytes =
+    aSection.Integer("caller_buffer_bytes", 256 << 10, 4096, 1 << 28);
+  buffers.mLowBytes = buffers.mHighBytes / 4;
+  buffers.mSlowCaller = aSection.Milliseconds(
+    "slow_caller_timeout_ms", buffers.mSlowCaller, milliseconds(100), kHour);
+}
+
+void
+ReadPhases(SettingsSection aSection, PhaseLimits& aPhases)
+{
+  const milliseconds least(1);
+  aPhases.mConnect =
+    aSection.Milliseconds("connect_ms", aPhases.mConnect, least, kHour);
+  aPhases.mFirstToken = aSection.Milliseconds(
+    "first_token_ms", aPhases.mFirstToken, least, kHour);
+  aPhases.mFirstTokenPerWaiting =
+    aSection.Milliseconds("first_token_per_waiting_ms",
+                          aPhases.mFirstTokenPerWaiting,
+                          milliseconds(0),
+                          kHour);
+  aPhases.mRelay.mStall = aSection.Milliseconds(
+    "stall_ms",
+    std::chrono::duration_cast<milliseconds>(aPhases.mRelay.mStall),
+    least,
+    kHour);
+  aPhases.mService =
+    aSection.Milliseconds("service_ms", aPhases.mService, least, kHour);
+  aPhases.mHedge = aSection.Milliseconds(
+    "hedge_after_ms", aPhases.mHedge, milliseconds(0), kHour);
+  aPhases.mStallThreshold = aSection.Milliseconds(
+    "stall_threshold_ms", aPhases.mStallThreshold, least, kHour);
+}
+
+void
+ReadRetries(SettingsSection aSection, PhaseLimits& aPhases)
+{
+  aPhases.mRelay.mMaxAttempts =
+    Unsigned(aSection, "engine_attempts", 3, 1, 100);
+  aPhases.mRelay.mResumeAttempts =
+    Unsigned(aSection, "resume_attempts", 4, 0, 100);
+  aPhases.mRelay.mFirstResumeDelay = aSection.Milliseconds(
+    "resume_delay_ms", milliseconds(20), milliseconds(1), kHour);
+  aPhases.mServiceAttempts =
+    Unsigned(aSection, "service_attempts", 3, 1, 100);
+  aPhases.mRetryShare = aSection.Number("retry_share", 0.1, 0, 1);
+}
+
+} // namespace
+
+SiteView
+ReadSiteView(SettingsSection aSection)
+{
+  SiteView view;
+  view.mTable.mVersion =
+    std::uint64_t(aSection.Integer("version", 1, 1, INT64_MAX));
+  for (auto& section : aSection.Sections("teams")) {
+    auto row = ReadTeam(section);
+    view.mTable.mTeams.emplace(row.mTeam, row);
+  }
+  for (auto& section : aSection.Sections("kinds")) {
+    auto row = ReadKind(section);
+    view.mTable.mKinds.emplace(row.mKind, row);
+  }
+  for (auto& section : aSection.Sections("models")) {
+    auto row = ReadModel(section);
+    view.mTable.mModels.emplace(row.mModel, row);
+  }
+  for (auto& section : aSection.Sections("targets")) {
+    auto target = ReadTarget(section);
+    if (!view.mTargets.emplace(target.mId, target).second) {
+      section.Reject("id", "expected an id that no other target has");
+    }
+  }
+  view.mEntryHosts = Names<HostId>(aSection, "entry_hosts");
+  return view;
+}
+
+RouterSettings
+ReadRouterSettings(SettingsSection& aRoot)
+{
+  RouterSettings settings;
+  settings.mHost = HostId(aRoot.RequiredString("host"));
+  settings.mListen = aRoot.RequiredEndpoint("listen");
+  settings.mThreads = Unsigned(aRoot, "threads", 2, 1, 64);
+  settings.mKeys = ReadKeys(aRoot);
+  settings.mDispatcher = aRoot.String("dispatcher", "");
+  {
+    auto tls = aRoot.Section("tls");
+    settings.mTlsCertificate = tls.String("certificate", "");
+    settings.mTlsKey = tls.String("key", "");
+    if (settings.mTlsCertificate.empty() != settings.mTlsKey.empty()) {
+      tls.Reject("key", "expected both 'certificate' and 'key', or neither");
+    }
+  }
+  ReadLimits(aRoot.Section("limits"), settings);
+  ReadPhases(aRoot.Section("timeouts"), settings.mPhases);
+  ReadRetries(aRoot.Section("retries"), settings.mPhases);
+  {
+    auto shutdown = aRoot.Section("shutdown");
+    settings.mShutdownGrace = shutdown.Milliseconds(
+      "grace_ms", settings.mShutdownGrace, milliseconds(0), kHour);
+    settings.mShutdownDeadline = shutdown.Milliseconds(
+      "deadline_ms", settings.mShutdownDeadline, milliseconds(0), 24 * kHour);
+  }
+  settings.mLoadPeriod = aRoot.Milliseconds(
+    "load_period_ms", settings.mLoadPeriod, milliseconds(0), kHour);
+  if (aRoot.Has("bootstrap_view")) {
+    settings.mBootstrapView = std::make_shared<const SiteView>(
+      ReadSiteView(aRoot.Section("bootstrap_view")));
+  }
+  return settings;
+}
+
+Result<std::optional<QSslConfiguration>>
+LoadTls(const RouterSettings& aSettings)
+{
+  if (aSettings.mTlsCertificate.empty()) {
+    return std::optional<QSslConfiguration>();
+  }
+  const auto chain = QSslCertificate::fromPath(
+    QString::fromStdString(aSettings.mTlsCertificate));
+  if (chain.isEmpty()) {
+    return Failure(ErrorCode::kInvalidArgument,
+                   "no certificate in " + aSettings.mTlsCertificate);
+  }
+  QFile file(QString::fromStdString(aSettings.mTlsKey));
+  if (!file.open(QIODevice::ReadOnly)) {
+    return Failure(ErrorCode::kInvalidArgument,
+                   "cannot read the key file " + aSettings.mTlsKey);
+  }
+  const auto text = file.readAll();
+  QSslKey key(text, QSsl::Rsa);
+  if (key.isNull()) {
+    key = QSslKey(text, QSsl::Ec);
+  }
+  if (key.isNull()) {
+    return Failure(ErrorCode::kInvalidArgument,
+                   "no RSA or EC key in " + aSettings.mTlsKey);
+  }
+  auto configuration = QSslConfiguration::defaultConfiguration();
+  configuration.setLocalCertificateChain(chain);
+  configuration.setPrivateKey(key);
+  return std::optional<QSslConfiguration>(configuration);
+}
+
+} // namespace ragwortdeck
--- /dev/null
+++ b/Source/Filters/RouterSettings.h
@@ -0,0 +1,76 @@
+#pragma once
+
+#include "Core/Ids.h"
+#include "Core/KeyRing.h"
+#include "Core/Settings.h"
+#include "Core/SiteView.h"
+#include "Filters/CallerExchange.h"
+#include "Filters/CallerServer.h"
+#include "Filters/StreamRelay.h"
+
+#include <QSslConfiguration>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace ragwortdeck {
+
+/// \brief Timeouts of the phases of a request, and retry limits.
+struct PhaseLimits
+{
+  std::chrono::milliseconds mConnect{ 1000 };
+  /// Limit for the first token on an engine with an empty queue.
+  std::chrono::milliseconds mFirstToken{ 10'000 };
+  /// Added to it for each request that waits on the engine.
+  std::chrono::milliseconds mFirstTokenPerWaiting{ 200 };
+  RelayLimits mRelay;
+  /// Limit of one call to a service.
+  std::chrono::milliseconds mService{ 5'000 };
+  /// Calls to services for one look-up, retries included.
+  std::uint32_t mServiceAttempts = 3;
+  /// A look-up without a reply is sent to a second target after this; zero
+  /// turns hedging off.
+  std::chrono::milliseconds mHedge{ 0 };
+  /// Share of recent requests that may be retried.
+  double mRetryShare = 0.1;
+  /// Gaps between tokens above this count as stalls in the metrics.
+  std::chrono::milliseconds mStallThreshold{ 1000 };
+};
+
+/// \brief Settings of ragwort-router.
+struct RouterSettings
+{
+  HostId mHost;
+  Endpoint mListen;
+  std::uint32_t mThreads = 2;
+  std::vector<SharedKey> mKeys;
+  ConnectionLimits mConnections;
+  CallerBufferLimits mBuffers;
+  PhaseLimits mPhases;
+  std::string mDispatcher;
+  std::string mTlsCertificate;
+  std::string mTlsKey;
+  /// How long new work is still served after SIGTERM.
+  std::chrono::milliseconds mShutdownGrace{ 2'000 };
+  /// Streams are cut off this long after SIGTERM; zero waits without limit.
+  std::chrono::milliseconds mShutdownDeadline{ 0 };
+  /// Period of GET /load on each engine; zero turns it off.
+  std::chrono::milliseconds mLoadPeriod{ 1000 };
+  /// View to use until the control process delivers one; null without one.
+  std::shared_ptr<const SiteView> mBootstrapView;
+};
+
+/// Reads all settings of the router.
+RouterSettings
+ReadRouterSettings(SettingsSection& aRoot);
+
+/// Reads teams, kinds, models, targets and entry hosts.
+SiteView
+ReadSiteView(SettingsSection aSection);
+
+/// Fails when the files cannot be read.
+Result<std::optional<QSslConfiguration>>
+LoadTls(const RouterSettings& aSettings);
+
+} // namespace ragwortdeck
--- a/Source/Targets/EngineStream.cxx
+++ b/Source/Targets/EngineStream.cxx
@@ -1,5 +1,6 @@
 #include "Targets/EngineStream.h"
 
+#include <QUrl>
 #include <utility>
 
 namespace ragwortdeck {
@@ -14,7 +15,8 @@
 {
   HttpCall call;
   call.mUrl = "http://" + aRequest.mAddress + "/v1/responses";
-  call.mHeaders = { "Accept: text/event-stream" };
+  call.mHeaders = aRequest.mHeaders;
+  call.mHeaders.emplace_back("Accept: text/event-stream");
   call.mConnectTimeout = aRequest.mConnectTimeout;
   if (!aRequest.mBody.empty()) {
     call.mMethod = "POST";
@@ -22,7 +24,8 @@
     call.mHeaders.emplace_back("Content-Type: application/json");
     return call;
   }
-  call.mUrl += "/" + aRequest.mEngineId + "?stream=true";
+  call.mUrl =
+    ResponseUrl(aRequest.mAddress, aRequest.mEngineId) + "?stream=true";
   if (aRequest.mStartingAfter) {
     call.mUrl += "&starting_after=" + std::to_string(*aRequest.mStartingAfter);
   }
@@ -48,6 +51,14 @@
 
 } // namespace
 
+std::string
+ResponseUrl(const std::string& aAddress, const std::string& aEngineId)
+{
+  const auto id =
+    QUrl::toPercentEncoding(QString::fromStdString(aEngineId)).toStdString();
+  return "http://" + aAddress + "/v1/responses/" + id;
+}
+
 EngineStream::EngineStream(OnEvent aOnEvent, OnEnd aOnEnd)
   : mOnEvent(std::move(aOnEvent))
   , mOnEnd(std::move(aOnEnd))
@@ -118,6 +129,9 @@
     mOnEvent(std::move(event.value()));
     return !mIsSilent;
   });
+  if (mOnBatch && !mIsSilent) {
+    mOnBatch();
+  }
   if (!fits || !isValid) {
     Report({ StreamEndKind::kDropped,
              kStatusOk,
--- a/Source/Targets/EngineStream.h
+++ b/Source/Targets/EngineStream.h
@@ -7,6 +7,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace ragwortdeck {
 
@@ -48,8 +49,14 @@
   /// Sequence number of the last event that is not needed again.
   std::optional<std::int64_t> mStartingAfter;
   std::chrono::milliseconds mConnectTimeout{ 1000 };
+  /// Further headers, each "Name: value".
+  std::vector<std::string> mHeaders;
 };
 
+/// URL of a response on an engine.
+std::string
+ResponseUrl(const std::string& aAddress, const std::string& aEngineId);
+
 /// \brief One connection that reads events of one generation.
 class EngineStream : public std::enable_shared_from_this<EngineStream>
 {
@@ -69,6 +76,11 @@
   /// connection can be used again.
   void Release();
   void SetPaused(bool aPaused);
+  /// Runs after the events of each read from the engine.
+  void SetOnBatch(std::function<void()> aOnBatch)
+  {
+    mOnBatch = std::move(aOnBatch);
+  }
 
 private:
   EngineStream(OnEvent aOnEvent, OnEnd aOnEnd);
@@ -78,6 +90,7 @@
 
   OnEvent mOnEvent;
   OnEnd mOnEnd;
+  std::function<void()> mOnBatch;
   SseParser mParser;
   /// Start of the body of a rejection.
   std::string mRejection;
--- /dev/null
+++ b/Source/Targets/LoadReportJson.cxx
@@ -0,0 +1,57 @@
+#include "Targets/LoadReportJson.h"
+
+#include <QJsonDocument>
+#include <QJsonObject>
+
+namespace ragwortdeck {
+
+namespace {
+
+constexpr double kMaxExact = 9007199254740991.0;
+constexpr double kMaxUint32 = 4294967295.0;
+
+/// Reads a non-negative metric; returns false when it is out of range.
+template<typename T>
+bool
+Read(const QJsonObject& aMetrics, const char* aName, double aMax, T& aValue)
+{
+  const auto value = aMetrics[QLatin1String(aName)];
+  if (value.isUndefined()) {
+    return true;
+  }
+  if (!value.isDouble() || value.toDouble() < 0 || value.toDouble() > aMax) {
+    return false;
+  }
+  aValue = T(value.toDouble());
+  return true;
+}
+
+} // namespace
+
+Result<LoadReport>
+ParseLoadReport(std::string_view aJson)
+{
+  const auto document = QJsonDocument::fromJson(
+    QByteArray(aJson.data(), qsizetype(aJson.size())));
+  const auto metrics = document.object()["named_metrics"];
+  if (!metrics.isObject()) {
+    return Failure(ErrorCode::kCorrupt,
+                   "a load report without 'named_metrics'");
+  }
+  const auto named = metrics.toObject();
+  LoadReport report;
+  const bool isValid =
+    Read(named, "memory_tokens", kMaxExact, report.mMemoryTokens) &&
+    Read(named, "memory_used_tokens", kMaxExact, report.mMemoryUsedTokens) &&
+    Read(named, "running", kMaxUint32, report.mRunning) &&
+    Read(named, "waiting", kMaxUint32, report.mWaiting) &&
+    Read(named, "max_batch", kMaxUint32, report.mMaxBatch) &&
+    Read(named, "preemptions", kMaxExact, report.mPreemptions);
+  if (!isValid) {
+    return Failure(ErrorCode::kCorrupt,
+                   "a load report with a metric out of range");
+  }
+  return report;
+}
+
+} // namespace ragwortdeck
--- a/Tests/StandIns/EngineModel.cxx
+++ b/Tests/StandIns/EngineModel.cxx
@@ -52,6 +52,10 @@
                         { "status", aStatus },
                         { "model",
                           QString::fromStdString(aGeneration.mModel) } };
+  if (!aGeneration.mMetadata.isEmpty()) {
+    response["metadata"] =
+      QJsonDocument::fromJson(aGeneration.mMetadata).object();
+  }
   if (aGeneration.IsEnded()) {
     const QJsonObject part{
       { "type", "output_text" },
--- a/Tests/StandIns/EngineModel.h
+++ b/Tests/StandIns/EngineModel.h
@@ -47,6 +47,8 @@
 {
   std::string mId;
   std::string mModel;
+  /// The request's metadata as JSON, which the response repeats.
+  QByteArray mMetadata;
   /// xxHash of the input; the text of each token depends on it, so that a
   /// reader detects an answer to another request.
   std::uint64_t mInputHash = 0;
--- a/Tests/StandIns/EngineServer.cxx
+++ b/Tests/StandIns/EngineServer.cxx
@@ -115,6 +115,10 @@
     generation.mId = "resp_" + std::to_string(mNextId++);
   }
   generation.mModel = model;
+  if (body["metadata"].isObject()) {
+    generation.mMetadata = QJsonDocument(body["metadata"].toObject())
+                             .toJson(QJsonDocument::Compact);
+  }
   generation.mInputHash = XXH3_64bits(input.data(), std::size_t(input.size()));
   generation.mPromptTokens = CountPromptTokens(input);
   const auto& options = mModel.Options();
