Policy: Add credit messages and credit calls to the dispatcher

Cause: the peer module carries credit messages and the router calls the dispatcher, so both need the types before the policies exist. Ruled out: one message type per limit, because the four limits (engine memory, batch slots, team streams, team token rate) follow the same grant rules. Change: CreditRequest and CreditGrant, batched per owner; new Dispatcher calls with default bodies, so that existing implementations still compile. Conclusion: headers only; behaviour follows.

--- a/Source/Policy/Dispatcher.h
+++ b/Source/Policy/Dispatcher.h
@@ -2,12 +2,14 @@
 
 #include "Core/SiteView.h"
 #include "Core/Verdict.h"
+#include "Policy/CreditMessages.h"
 #include "Policy/RequestTraits.h"
 
 #include <cstdint>
 #include <functional>
 #include <memory>
 #include <variant>
+#include <vector>
 
 namespace ragwortdeck {
 
@@ -29,6 +31,41 @@
   kTargetStalled,
 };
 
+/// \brief What an engine says about its prefix cache since its last batch.
+struct CacheEvents
+{
+  /// Counts batches from 1 without gaps; a gap makes earlier events useless.
+  std::uint64_t mSequence = 0;
+  /// Hashes as in RequestTraits::mPrefixHashes.
+  std::vector<std::uint64_t> mStored;
+  std::vector<std::uint64_t> mRemoved;
+
+  bool operator==(const CacheEvents&) const = default;
+};
+
+/// \brief Time limits of the phases of one dispatched request.
+struct PhaseLimits
+{
+  Duration mConnect{ std::chrono::seconds(1) };
+  Duration mFirstToken{ std::chrono::seconds(30) };
+  Duration mBetweenTokens{ std::chrono::seconds(10) };
+  Duration mTotal{ std::chrono::seconds(600) };
+
+  bool operator==(const PhaseLimits&) const = default;
+};
+
+/// \brief Counts for metrics.
+struct DispatchCounts
+{
+  std::uint64_t mQueued = 0;
+  std::uint64_t mRunning = 0;
+  std::uint64_t mDispatched = 0;
+  std::uint64_t mRefused = 0;
+  std::uint64_t mEjectedTargets = 0;
+
+  bool operator==(const DispatchCounts&) const = default;
+};
+
 /// \brief Decides when and where each model request of one router runs.
 ///
 /// Not thread-safe: the router calls it under one mutex. Callbacks run inside
@@ -54,6 +91,41 @@
   /// Dispatches what has become possible and refuses what has become
   /// hopeless. Call at least every 50 ms.
   virtual void Tick() = 0;
+
+  /// Batched requests to credit owners since the last call. Call every 200 ms
+  /// and send each one to its mOwner.
+  virtual std::vector<CreditRequest> CollectCreditRequests() { return {}; }
+  /// An owner's answer has arrived.
+  virtual void OnCredits(const CreditGrant& aGrant)
+  {
+    static_cast<void>(aGrant);
+  }
+  /// The hosts that membership holds for alive have changed; owners are
+  /// chosen among them. Before the first call: SiteView::mEntryHosts.
+  virtual void OnOwners(const std::vector<HostId>& aLiveHosts)
+  {
+    static_cast<void>(aLiveHosts);
+  }
+  virtual void OnCacheEvents(const TargetId& aTarget,
+                             const CacheEvents& aEvents)
+  {
+    static_cast<void>(aTarget);
+    static_cast<void>(aEvents);
+  }
+  /// Asks whether a request whose target failed before the first token may be
+  /// submitted again; a true answer spends a part of the retry budget.
+  virtual bool TryRetry(const RequestTraits& aTraits)
+  {
+    static_cast<void>(aTraits);
+    return true;
+  }
+  /// Limits for a dispatched request; read them right after the decision.
+  virtual PhaseLimits Limits(Ticket aTicket) const
+  {
+    static_cast<void>(aTicket);
+    return {};
+  }
+  virtual DispatchCounts Counts() const { return {}; }
 };
 
 } // namespace ragwortdeck
