Policy: Add baseline dispatchers, engine fake and benchmark harness

Cause: the decisions on crowded engines need a yardstick before they exist. Change: round robin, random, least outstanding and two random choices behind MakeDispatcher(); EngineFake with continuous batching, memory in cached tokens and preemption of the youngest; bench-policy. Ours is still a placeholder that equals random.

--- /dev/null
+++ b/Benchmarks/Policy/EngineFake.cxx
@@ -0,0 +1,185 @@
+#include "Policy/EngineFake.h"
+
+#include <algorithm>
+
+namespace ragwortdeck {
+
+namespace {
+
+/// Part of the memory that admission leaves free, as real engines do.
+constexpr double kAdmissionWatermark = 0.01;
+
+} // namespace
+
+EngineFake::EngineFake(Scheduler& aScheduler, const EngineFakeConfig& aConfig)
+  : mScheduler(aScheduler)
+  , mConfig(aConfig)
+{
+}
+
+bool
+EngineFake::Start(SequenceId aId,
+                  std::uint32_t aPromptTokens,
+                  std::uint32_t aOutputTokens)
+{
+  if (mDead) {
+    return false;
+  }
+  mWaiting.push_back({ aId, aPromptTokens, aOutputTokens, 0, aPromptTokens });
+  if (!mStepping) {
+    PlanStep();
+  }
+  return true;
+}
+
+void
+EngineFake::Cancel(SequenceId aId)
+{
+  const auto same = [aId](const Sequence& aOne) { return aOne.mId == aId; };
+  std::erase_if(mWaiting, same);
+  for (const auto& sequence : mRunning) {
+    mUsed -= same(sequence) ? sequence.Held() : 0;
+  }
+  std::erase_if(mRunning, same);
+}
+
+LoadReport
+EngineFake::Report() const
+{
+  LoadReport report;
+  report.mMemoryTokens = mConfig.mMemoryTokens;
+  report.mMemoryUsedTokens =
+    static_cast<std::uint64_t>(static_cast<double>(mUsed) * mReportFactor);
+  report.mRunning = static_cast<std::uint32_t>(mRunning.size());
+  report.mWaiting = static_cast<std::uint32_t>(mWaiting.size());
+  report.mMaxBatch = mConfig.mMaxBatch;
+  report.mPreemptions = mPreemptions;
+  return report;
+}
+
+void
+EngineFake::Die()
+{
+  mDead = true;
+  mStepping = false;
+  mStep.Cancel();
+  std::vector<SequenceId> lost;
+  for (const auto& sequence : mRunning) {
+    lost.push_back(sequence.mId);
+  }
+  for (const auto& sequence : mWaiting) {
+    lost.push_back(sequence.mId);
+  }
+  mRunning.clear();
+  mWaiting.clear();
+  mUsed = 0;
+  for (const auto id : lost) {
+    mOnLost(id);
+  }
+}
+
+void
+EngineFake::Reclaim(Duration aNotice)
+{
+  mDeath = mScheduler.After(aNotice, [this] { Die(); });
+}
+
+void
+EngineFake::Stall(Duration aDuration)
+{
+  mStalledUntil = mScheduler.Now() + aDuration;
+}
+
+void
+EngineFake::Admit()
+{
+  const auto limit = static_cast<std::uint64_t>(
+    static_cast<double>(mConfig.mMemoryTokens) * (1.0 - kAdmissionWatermark));
+  while (!mWaiting.empty() && mRunning.size() < mConfig.mMaxBatch) {
+    auto& next = mWaiting.front();
+    // A sequence larger than the memory may run alone.
+    if (mUsed + next.Held() > limit && !mRunning.empty()) {
+      return;
+    }
+    next.mPrefillLeft = next.Held();
+    mUsed += next.Held();
+    mRunning.push_back(next);
+    mWaiting.pop_front();
+  }
+}
+
+void
+EngineFake::PreemptUntilDecodeFits()
+{
+  while (mRunning.size() > 1 &&
+         mUsed + mRunning.size() > mConfig.mMemoryTokens) {
+    mUsed -= mRunning.back().Held();
+    mWaiting.push_front(mRunning.back());
+    mRunning.pop_back();
+    ++mPreemptions;
+  }
+}
+
+void
+EngineFake::PlanStep()
+{
+  // Admission comes after preemption and never right after it in one step,
+  // or the preempted sequence would be taken in again at once.
+  const auto before = mPreemptions;
+  PreemptUntilDecodeFits();
+  if (mPreemptions == before) {
+    Admit();
+  }
+  mStepping = !mRunning.empty();
+  if (!mStepping) {
+    return;
+  }
+  std::uint32_t budget = mConfig.mPrefillChunk;
+  for (auto& sequence : mRunning) {
+    const auto part = std::min(budget, sequence.mPrefillLeft);
+    sequence.mPrefillLeft -= part;
+    budget -= part;
+  }
+  const auto batch = static_cast<std::int64_t>(mRunning.size());
+  const auto prefill =
+    static_cast<std::int64_t>(mConfig.mPrefillChunk - budget);
+  const auto full = mConfig.mStepBase + mConfig.mStepPerSequence * batch +
+                    mConfig.mStepPerPrefillToken * prefill;
+  const Duration step(
+    static_cast<Duration::rep>(static_cast<double>(full.count()) * mSlowness));
+  const auto wait =
+    std::max(mStalledUntil - mScheduler.Now(), Duration::zero());
+  mStep = mScheduler.After(step + wait, [this] { FinishStep(); });
+}
+
+void
+EngineFake::FinishStep()
+{
+  std::vector<SequenceId> tokens;
+  std::vector<SequenceId> finished;
+  for (auto& sequence : mRunning) {
+    if (sequence.mPrefillLeft > 0) {
+      continue;
+    }
+    ++sequence.mGenerated;
+    ++mUsed;
+    tokens.push_back(sequence.mId);
+    if (sequence.mGenerated >= sequence.mOutput) {
+      finished.push_back(sequence.mId);
+      mUsed -= sequence.Held();
+    }
+  }
+  std::erase_if(mRunning, [](const Sequence& aOne) {
+    return aOne.mGenerated >= aOne.mOutput && aOne.mPrefillLeft == 0;
+  });
+  // Callbacks may start or cancel sequences; the next step is planned after.
+  for (const auto id : tokens) {
+    mOnToken(id);
+  }
+  for (const auto id : finished) {
+    mOnFinished(id);
+  }
+  PlanStep();
+}
+
+} // namespace ragwortdeck
--- /dev/null
+++ b/Source/Policy/BaselineDispatcher.cxx
@@ -0,0 +1,152 @@
+#include "Policy/BaselineDispatcher.h"
+
+#include <algorithm>
+
+namespace ragwortdeck {
+
+namespace {
+
+bool
+Contains(const auto& aList, const auto& aValue)
+{
+  return std::find(aList.begin(), aList.end(), aValue) != aList.end();
+}
+
+bool
+Serves(const Target& aTarget, const RequestTraits& aTraits)
+{
+  return aTarget.mRole == TargetRole::kEngine &&
+         aTarget.mState == TargetState::kLive &&
+         Contains(aTarget.mModels, aTraits.mModel) &&
+         !Contains(aTraits.mExcluded, aTarget.mId);
+}
+
+Verdict
+NoTarget()
+{
+  return { RunState::kNotRun,
+           503,
+           "no_target",
+           "no engine serves this model now; repeat later",
+           std::chrono::seconds(1) };
+}
+
+} // namespace
+
+BaselineDispatcher::BaselineDispatcher(DispatchPolicy aRule,
+                                       std::uint64_t aSeed)
+  : mRule(aRule)
+  , mRandom(aSeed)
+  , mNextTurn(mRandom.Below(1'000))
+{
+}
+
+std::vector<TargetId>
+BaselineDispatcher::Candidates(const RequestTraits& aTraits) const
+{
+  std::vector<TargetId> ids;
+  if (mView) {
+    for (const auto& [id, target] : mView->mTargets) {
+      if (Serves(target, aTraits)) {
+        ids.push_back(id);
+      }
+    }
+  }
+  return ids;
+}
+
+const TargetId&
+BaselineDispatcher::LeastOutstanding(const std::vector<TargetId>& aCandidates)
+{
+  // Ties go to the first after a random start. Otherwise every router would
+  // prefer the same engine.
+  const auto start = mRandom.Below(aCandidates.size());
+  const auto* best = &aCandidates[start];
+  for (std::size_t i = 1; i < aCandidates.size(); ++i) {
+    const auto& next = aCandidates[(start + i) % aCandidates.size()];
+    if (mOutstanding[next] < mOutstanding[*best]) {
+      best = &next;
+    }
+  }
+  return *best;
+}
+
+const TargetId&
+BaselineDispatcher::BetterOfTwo(const std::vector<TargetId>& aCandidates)
+{
+  const auto& one = aCandidates[mRandom.Below(aCandidates.size())];
+  const auto& two = aCandidates[mRandom.Below(aCandidates.size())];
+  return mOutstanding[two] < mOutstanding[one] ? two : one;
+}
+
+const TargetId&
+BaselineDispatcher::Choose(const std::vector<TargetId>& aCandidates)
+{
+  switch (mRule) {
+    case DispatchPolicy::kRoundRobin:
+      return aCandidates[mNextTurn++ % aCandidates.size()];
+    case DispatchPolicy::kLeastOutstanding:
+      return LeastOutstanding(aCandidates);
+    case DispatchPolicy::kTwoRandomChoices:
+      return BetterOfTwo(aCandidates);
+    default:
+      return aCandidates[mRandom.Below(aCandidates.size())];
+  }
+}
+
+Ticket
+BaselineDispatcher::Submit(const RequestTraits& aTraits,
+                           DispatchCallback aCallback)
+{
+  const auto ticket = mNextTicket++;
+  const auto candidates = Candidates(aTraits);
+  if (candidates.empty()) {
+    ++mCounts.mRefused;
+    aCallback(NoTarget());
+    return ticket;
+  }
+  const auto target = Choose(candidates);
+  ++mOutstanding[target];
+  mDispatched.emplace(ticket, target);
+  ++mCounts.mDispatched;
+  mCounts.mRunning = mDispatched.size();
+  aCallback(target);
+  return ticket;
+}
+
+void
+BaselineDispatcher::OnTokens(Ticket /*aTicket*/, std::uint32_t /*aTokens*/)
+{
+}
+
+void
+BaselineDispatcher::OnFinished(Ticket aTicket, DispatchOutcome /*aOutcome*/)
+{
+  const auto it = mDispatched.find(aTicket);
+  if (it == mDispatched.end()) {
+    return;
+  }
+  --mOutstanding[it->second];
+  mDispatched.erase(it);
+  mCounts.mRunning = mDispatched.size();
+}
+
+void
+BaselineDispatcher::Cancel(Ticket aTicket)
+{
+  OnFinished(aTicket, DispatchOutcome::kCancelled);
+}
+
+void
+BaselineDispatcher::OnView(std::shared_ptr<const SiteView> aView)
+{
+  mView = std::move(aView);
+}
+
+void
+BaselineDispatcher::OnLoadReport(const TargetId& /*aTarget*/,
+                                 const LoadReport& /*aReport*/)
+{
+}
+
+} // namespace ragwortdeck
