Peer: Add authenticated frames and the control link

Control and router need a link over which a replayed, reordered, reflected or forged frame is refused. RouterLink keeps the last view while control is away, reconnects with jittered pauses and keeps newer table rows when control restarts with an older table.

--- /dev/null
+++ b/Source/Peer/RouterLink.cxx
@@ -0,0 +1,129 @@
+#include "Peer/RouterLink.h"
+
+#include "Core/Log.h"
+
+namespace ragwortdeck {
+
+namespace {
+
+const Log sLog("router-link");
+
+} // namespace
+
+RouterLink::RouterLink(Scheduler& aScheduler,
+                       RandomSource aRandom,
+                       PeerIdentity aIdentity,
+                       RouterLinkSettings aSettings,
+                       Hooks aHooks)
+  : mScheduler(aScheduler)
+  , mRandom(aRandom)
+  , mIdentity(std::move(aIdentity))
+  , mSettings(std::move(aSettings))
+  , mHooks(std::move(aHooks))
+  , mPause(mSettings.mReconnectMin)
+{
+}
+
+RouterLink::~RouterLink()
+{
+  Stop();
+}
+
+void
+RouterLink::Start()
+{
+  if (!mRunning) {
+    mRunning = true;
+    Connect();
+  }
+}
+
+void
+RouterLink::Stop()
+{
+  mRunning = false;
+  mReconnect.Cancel();
+  if (mConnection) {
+    mConnection->Abort();
+    mConnection.release()->deleteLater();
+  }
+}
+
+bool
+RouterLink::IsConnected() const
+{
+  return mConnection && mConnection->IsReady();
+}
+
+void
+RouterLink::Connect()
+{
+  PeerConnectionLimits limits;
+  limits.mHeartbeat = mSettings.mHeartbeat;
+  limits.mSilence = mSettings.mSilence;
+  mConnection = std::make_unique<PeerConnection>(
+    mScheduler,
+    mIdentity,
+    mSettings.mControl,
+    limits,
+    PeerConnection::Hooks{
+      [this] {
+        mPause = mSettings.mReconnectMin;
+        sLog.Info("connected to control at " + ToText(mSettings.mControl));
+        if (mHooks.mOnConnected) {
+          mHooks.mOnConnected(true);
+        }
+      },
+      [this](const PeerMessage& aMessage) { Take(aMessage); },
+      [this](const std::string& aReason) { Lose(aReason); } });
+}
+
+void
+RouterLink::Take(const PeerMessage& aMessage)
+{
+  if (!aMessage.Is<SiteViewMessage>()) {
+    mHooks.mOnMessage(aMessage);
+    return;
+  }
+  auto message = aMessage.As<SiteViewMessage>();
+  if (!message) {
+    sLog.Error("site view ignored: " + message.error().mMessage);
+    return;
+  }
+  auto& view = message.value().mView;
+  // Control restarts with an older table only when neither the key-value
+  // service nor a peer answered; the newer rows that this router has remain
+  // in force.
+  if (mView && view.mTable.mVersion < mView->mTable.mVersion) {
+    view.mTable = mView->mTable;
+  }
+  mView = std::make_shared<const SiteView>(std::move(view));
+  mHooks.mOnView(mView);
+}
+
+void
+RouterLink::Lose(const std::string& aReason)
+{
+  // A hook of the connection runs here; it is destroyed afterwards.
+  auto* connection = mConnection.release();
+  const bool wasReady = connection->WasReady();
+  connection->deleteLater();
+  if (wasReady) {
+    sLog.Warning("lost control at " + ToText(mSettings.mControl) + ": " +
+                 aReason);
+    if (mHooks.mOnConnected) {
+      mHooks.mOnConnected(false);
+    }
+  }
+  if (!mRunning) {
+    return;
+  }
+  // Half of the pause is random, so that the routers of a site do not return
+  // at the same moment.
+  const auto half = mPause.count() / 2;
+  const Duration pause(half + std::int64_t(mRandom.Below(half + 1)));
+  mPause = std::min(mPause * 2, mSettings.mReconnectMax);
+  mReconnect = mScheduler.After(pause, [this] { Connect(); });
+}
+
+} // namespace ragwortdeck
