--- /dev/null
+++ b/Source/Platform/HostListClient.h
@@ -0,0 +1,114 @@
+#pragma once
+
+#include "Core/Ids.h"
+#include "Core/RandomSource.h"
+#include "Core/Result.h"
+#include "Core/Scheduler.h"
+#include "Core/Settings.h"
+
+#include <QByteArray>
+#include <QNetworkAccessManager>
+#include <QPointer>
+#include <QUrl>
+#include <optional>
+
+class QNetworkReply;
+
+namespace ragwortdeck {
+
+/// What a listed host does.
+enum class ListedRole : std::uint8_t
+{
+  kEntry,
+  kEngine,
+  kService,
+};
+
+/// \brief One host of the platform's host list.
+struct ListedHost
+{
+  std::string mId;
+  ListedRole mRole = ListedRole::kEntry;
+  /// Numeric IP address and port.
+  std::string mAddress;
+  FailureDomain mFailureDomain;
+  /// The platform is about to take the host away.
+  bool mLeaving = false;
+  bool mChecksFencing = false;
+
+  bool operator==(const ListedHost&) const = default;
+};
+
+/// \brief The hosts of one answer, in the order of the list.
+struct HostList
+{
+  std::vector<ListedHost> mHosts;
+
+  bool operator==(const HostList&) const = default;
+};
+
+/// Parses Prometheus HTTP SD JSON: an array of {"targets": ["ip:port", ...],
+/// "labels": {...}}. Labels: "host" (id), "role" ("entry", "engine",
+/// "service"), "failure_domain", "state" ("live", "leaving"; default "live"),
+/// "checks_fencing" ("true", "false"; default "false"). A group with several
+/// targets has no "host" label; its ids are the addresses. Entries of other
+/// roles are skipped. A malformed entry refuses the whole list, because a list
+/// without that host would show it as gone.
+Result<HostList>
+ParseHostList(const QByteArray& aJson);
+
+/// \brief How to read the host list.
+struct HostListSettings
+{
+  QUrl mUrl;
+  Duration mPollInterval{ std::chrono::seconds(2) };
+  Duration mTimeout{ std::chrono::seconds(1) };
+
+  /// Reads "endpoint", "path", "poll_interval_ms" and "timeout_ms".
+  static HostListSettings Read(SettingsSection aSection);
+};
+
+/// \brief Polls the host list and keeps the last good one.
+///
+/// An empty list, a malformed one and a failed poll leave the last list in
+/// force; its age tells how long. Needs the event loop of its thread.
+class HostListClient
+{
+public:
+  /// Called for each list that differs from the one before it.
+  using OnList = std::function<void(const HostList&)>;
+
+  HostListClient(Scheduler& aScheduler,
+                 RandomSource aRandom,
+                 HostListSettings aSettings,
+                 OnList aOnList);
+  ~HostListClient();
+  HostListClient(const HostListClient&) = delete;
+  HostListClient& operator=(const HostListClient&) = delete;
+
+  /// The last good list; nothing before the first.
+  const std::optional<HostList>& Last() const { return mLast; }
+  /// Time since the last good answer; nothing before the first.
+  std::optional<Duration> Age() const;
+  std::uint64_t FailedPolls() const { return mFailedPolls; }
+
+private:
+  void Poll();
+  void ScheduleNext();
+  void OnFinished();
+  void Finish(const Result<HostList>& aResult);
+
+  Scheduler& mScheduler;
+  RandomSource mRandom;
+  HostListSettings mSettings;
+  OnList mOnList;
+  QNetworkAccessManager mManager;
+  QPointer<QNetworkReply> mReply;
+  TimerHandle mNext;
+  TimerHandle mDeadline;
+  std::optional<HostList> mLast;
+  MonotonicTime mReceived;
+  std::uint64_t mFailedPolls = 0;
+};
+
+} // namespace ragwortdeck
--- /dev/null
+++ b/Source/Platform/HttpKeyValueStore.cxx
@@ -0,0 +1,578 @@
+#include "Platform/HttpKeyValueStore.h"
+
+#include "Core/Log.h"
+#include "Platform/EtcdJson.h"
+#include "Platform/OneShotBody.h"
+
+#include <QNetworkAccessManager>
+#include <QNetworkProxy>
+#include <QNetworkReply>
+#include <QPointer>
+#include <set>
+
+namespace ragwortdeck {
+
+namespace {
+
+const Log kLog("kv");
+
+// Longest accepted reply. The whole table at the design size is about 2 MB,
+// and a day of edit records about 3 MB.
+constexpr qint64 kMaxReplyBytes = 64 << 20;
+
+QNetworkRequest
+MakeRequest(const Endpoint& aEndpoint, const char* aPath, qint64 aSize)
+{
+  QNetworkRequest request(
+    QUrl(QString::fromStdString("http://" + ToText(aEndpoint) + aPath)));
+  request.setHeader(QNetworkRequest::ContentTypeHeader, "application/json");
+  request.setHeader(QNetworkRequest::ContentLengthHeader, aSize);
+  request.setAttribute(QNetworkRequest::Http2AllowedAttribute, false);
+  request.setAttribute(QNetworkRequest::DoNotBufferUploadDataAttribute, true);
+  request.setAttribute(QNetworkRequest::RedirectPolicyAttribute,
+                       QNetworkRequest::ManualRedirectPolicy);
+  return request;
+}
+
+int
+StatusOf(const QNetworkReply& aReply)
+{
+  return aReply.attribute(QNetworkRequest::HttpStatusCodeAttribute).toInt();
+}
+
+// Detaches from a reply without further signals.
+void
+Discard(QPointer<QNetworkReply>& aReply)
+{
+  if (aReply) {
+    aReply->disconnect();
+    aReply->abort();
+    aReply->deleteLater();
+    aReply.clear();
+  }
+}
+
+} // namespace
+
+KeyValueSettings
+KeyValueSettings::Read(SettingsSection aSection)
+{
+  using std::chrono::milliseconds;
+  const KeyValueSettings defaults;
+  const auto millis = [](Duration aDuration) {
+    return std::chrono::duration_cast<milliseconds>(aDuration);
+  };
+  KeyValueSettings settings;
+  settings.mEndpoints = aSection.EndpointList("endpoints");
+  if (settings.mEndpoints.empty()) {
+    aSection.Reject("endpoints",
+                    "expected at least one <IP address>:<port> of the "
+                    "key-value service");
+  }
+  settings.mCallTimeout = aSection.Milliseconds("call_timeout_ms",
+                                                millis(defaults.mCallTimeout),
+                                                milliseconds(50),
+                                                milliseconds(60'000));
+  settings.mWatchIdleLimit =
+    aSection.Milliseconds("watch_idle_limit_ms",
+                          millis(defaults.mWatchIdleLimit),
+                          milliseconds(500),
+                          milliseconds(600'000));
+  return settings;
+}
+
+/// \brief What calls and watches share with the store.
+struct HttpKeyValueStore::Shared
+{
+  Shared(Scheduler& aScheduler, KeyValueSettings aSettings)
+    : mScheduler(aScheduler)
+    , mSettings(std::move(aSettings))
+  {
+    mCallManager.setProxy(QNetworkProxy::NoProxy);
+    mWatchManager.setProxy(QNetworkProxy::NoProxy);
+  }
+
+  Scheduler& mScheduler;
+  KeyValueSettings mSettings;
+  // Watches have a manager of their own, because one manager opens at most 6
+  // connections to an endpoint and a waiting watch holds one.
+  QNetworkAccessManager mCallManager;
+  QNetworkAccessManager mWatchManager;
+  /// The endpoint that answered last.
+  std::size_t mPreferred = 0;
+  std::set<std::shared_ptr<Call>> mCalls;
+};
+
+/// \brief One call with its attempts at several endpoints.
+class HttpKeyValueStore::Call : public std::enable_shared_from_this<Call>
+{
+public:
+  using Done = std::function<void(KeyValueResult<QByteArray>)>;
+
+  Call(Shared& aShared,
+       const char* aPath,
+       QByteArray aBody,
+       bool aRepeatable,
+       Done aDone)
+    : mShared(aShared)
+    , mPath(aPath)
+    , mBody(std::move(aBody))
+    , mRepeatable(aRepeatable)
+    , mDone(std::move(aDone))
+    , mEndpoint(aShared.mPreferred)
+  {
+  }
+  ~Call() { Discard(mReply); }
+  Call(const Call&) = delete;
+  Call& operator=(const Call&) = delete;
+
+  void Start()
+  {
+    mDeadline = mShared.mScheduler.After(mShared.mSettings.mCallTimeout,
+                                         [this] { OnDeadline(); });
+    Attempt();
+  }
+
+private:
+  std::size_t Endpoints() const { return mShared.mSettings.mEndpoints.size(); }
+
+  void Attempt()
+  {
+    ++mAttempts;
+    mDevice = new OneShotBody(mBody);
+    auto* reply = mShared.mCallManager.post(
+      MakeRequest(mShared.mSettings.mEndpoints[mEndpoint], mPath, mBody.size()),
+      mDevice);
+    mReply = reply;
+    // The reply refers to the body until it is destroyed itself.
+    mDevice->setParent(reply);
+    QObject::connect(
+      reply, &QNetworkReply::finished, reply, [this] { OnFinished(); });
+    QObject::connect(reply,
+                     &QNetworkReply::downloadProgress,
+                     reply,
+                     [this](qint64 aReceived, qint64) {
+                       if (aReceived > kMaxReplyBytes) {
+                         Fail("the reply is too long");
+                       }
+                     });
+    // Leaves time for the other endpoints when this one does not answer.
+    mAttemptLimit = mShared.mScheduler.After(mShared.mSettings.mCallTimeout /
+                                               static_cast<int>(Endpoints()),
+                                             [this] { OnAttemptLimit(); });
+  }
+
+  void EndAttempt()
+  {
+    mSent = mSent || (mDevice && mDevice->MayHaveLeft());
+    Discard(mReply);
+    mDevice.clear();
+    mAttemptLimit.Cancel();
+  }
+
+  bool MayMoveOn() const
+  {
+    const bool left = mSent || (mDevice && mDevice->MayHaveLeft());
+    return (mRepeatable || !left) && mAttempts < Endpoints();
+  }
+
+  void MoveOn()
+  {
+    EndAttempt();
+    mEndpoint = (mEndpoint + 1) % Endpoints();
+    Attempt();
+  }
+
+  void OnAttemptLimit()
+  {
+    if (MayMoveOn()) {
+      const auto alive = shared_from_this();
+      MoveOn();
+    }
+  }
+
+  void OnDeadline() { Fail("no reply in time"); }
+
+  void OnFinished()
+  {
+    const int status = StatusOf(*mReply);
+    const auto body = mReply->readAll();
+    const bool answered = mReply->error() == QNetworkReply::NoError;
+    const auto text = mReply->errorString().toStdString();
+    if (status == 200 && answered) {
+      mShared.mPreferred = mEndpoint;
+      EndAttempt();
+      Finish(body);
+      return;
+    }
+    if (status >= 300 && EtcdJson::ProvesNotApplied(status, body)) {
+      // Says nothing about attempts before this one.
+      const auto effect = mSent ? KeyValueError::Effect::kUnknown
+                                : KeyValueError::Effect::kNotApplied;
+      EndAttempt();
+      Finish(
+        Failure(KeyValueError{ effect, EtcdJson::ErrorText(body), false }));
+      return;
+    }
+    if (MayMoveOn()) {
+      const auto alive = shared_from_this();
+      MoveOn();
+      return;
+    }
+    Fail(text);
+  }
+
+  void Fail(const std::string& aMessage)
+  {
+    EndAttempt();
+    const auto effect = mSent ? KeyValueError::Effect::kUnknown
+                              : KeyValueError::Effect::kNotApplied;
+    Finish(Failure(KeyValueError{ effect, aMessage, false }));
+  }
+
+  void Finish(KeyValueResult<QByteArray> aResult)
+  {
+    const auto alive = shared_from_this();
+    mDeadline.Cancel();
+    mShared.mCalls.erase(alive);
+    const auto done = std::move(mDone);
+    done(std::move(aResult));
+  }
+
+  Shared& mShared;
+  const char* mPath;
+  QByteArray mBody;
+  bool mRepeatable;
+  Done mDone;
+  std::size_t mEndpoint;
+  std::size_t mAttempts = 0;
+  /// True once an ended attempt may have left.
+  bool mSent = false;
+  QPointer<OneShotBody> mDevice;
+  QPointer<QNetworkReply> mReply;
+  TimerHandle mDeadline;
+  TimerHandle mAttemptLimit;
+};
+
+/// \brief A watch that is renewed when it has been silent for too long.
+class HttpKeyValueStore::WatchStream
+  : public std::enable_shared_from_this<WatchStream>
+{
+public:
+  WatchStream(std::shared_ptr<Shared> aShared,
+              std::string aPrefix,
+              std::int64_t aFromRevision,
+              std::function<void(const KeyEventBatch&)> aOnBatch,
+              std::function<void(const KeyValueError&)> aOnError)
+    : mShared(std::move(aShared))
+    , mPrefix(std::move(aPrefix))
+    , mNextRevision(aFromRevision)
+    , mOnBatch(std::move(aOnBatch))
+    , mOnError(std::move(aOnError))
+    , mEndpoint(mShared->mPreferred)
+  {
+  }
+
+  void Open()
+  {
+    Discard(mReply);
+    mBuffer.clear();
+    mCreated = false;
+    const auto body = EtcdJson::WatchRequest(mPrefix, mNextRevision);
+    auto* reply = mShared->mWatchManager.post(
+      MakeRequest(
+        mShared->mSettings.mEndpoints[mEndpoint], "/v3/watch", body.size()),
+      body);
+    mReply = reply;
+    const std::weak_ptr<WatchStream> weak = shared_from_this();
+    QObject::connect(reply, &QNetworkReply::readyRead, reply, [weak] {
+      if (const auto self = weak.lock()) {
+        self->OnReadyRead();
+      }
+    });
+    QObject::connect(reply, &QNetworkReply::finished, reply, [weak] {
+      if (const auto self = weak.lock()) {
+        self->OnFinished();
+      }
+    });
+    Arm();
+  }
+
+  void Close()
+  {
+    mClosed = true;
+    mIdle.Cancel();
+    Discard(mReply);
+  }
+
+private:
+  // Until the service has accepted the watch, silence is a failure; after
+  // that, it is a reason to open the watch again.
+  void Arm()
+  {
+    const auto limit = mCreated ? mShared->mSettings.mWatchIdleLimit
+                                : mShared->mSettings.mCallTimeout;
+    const std::weak_ptr<WatchStream> weak = shared_from_this();
+    mIdle = mShared->mScheduler.After(limit, [weak] {
+      if (const auto self = weak.lock()) {
+        self->OnSilence();
+      }
+    });
+  }
+
+  void OnSilence()
+  {
+    if (!mCreated) {
+      Fail({ KeyValueError::Effect::kNotApplied,
+             "the watch was not accepted in time",
+             false });
+      return;
+    }
+    mEndpoint = (mEndpoint + 1) % mShared->mSettings.mEndpoints.size();
+    Open();
+  }
+
+  void OnReadyRead()
+  {
+    // An error reply is not a stream of messages; OnFinished reports it.
+    if (StatusOf(*mReply) != 200) {
+      return;
+    }
+    mBuffer += mReply->readAll();
+    Arm();
+    qsizetype start = 0;
+    while (!mClosed) {
+      const auto end = mBuffer.indexOf('\n', start);
+      if (end < 0) {
+        break;
+      }
+      OnLine(mBuffer.mid(start, end - start));
+      start = end + 1;
+    }
+    mBuffer.remove(0, start);
+    if (!mClosed && mBuffer.size() > kMaxReplyBytes) {
+      Fail({ KeyValueError::Effect::kNotApplied,
+             "a watch message is too long",
+             false });
+    }
+  }
+
+  void OnLine(const QByteArray& aLine)
+  {
+    if (aLine.trimmed().isEmpty()) {
+      return;
+    }
+    const auto message = EtcdJson::ParseWatch(aLine);
+    if (!message) {
+      Fail({ KeyValueError::Effect::kNotApplied,
+             message.error().mMessage,
+             false });
+      return;
+    }
+    OnMessage(message.value());
+  }
+
+  void OnMessage(const EtcdWatchMessage& aMessage)
+  {
+    if (aMessage.mCanceled) {
+      Fail({ KeyValueError::Effect::kNotApplied,
+             "the service ended the watch: " + aMessage.mReason,
+             aMessage.mCompacted });
+      return;
+    }
+    if (aMessage.mCreated && !mCreated) {
+      mCreated = true;
+      Arm();
+    }
+    for (const auto& batch : aMessage.mBatches) {
+      if (mClosed) {
+        return;
+      }
+      if (batch.mRevision < mNextRevision) {
+        continue;
+      }
+      mNextRevision = batch.mRevision + 1;
+      const auto onBatch = mOnBatch;
+      onBatch(batch);
+    }
+    // A progress notice promises that everything up to its revision was sent.
+    if (!aMessage.mCreated && aMessage.mBatches.empty()) {
+      mNextRevision = std::max(mNextRevision, aMessage.mRevision + 1);
+    }
+  }
+
+  void OnFinished()
+  {
+    if (mClosed) {
+      return;
+    }
+    const auto status = StatusOf(*mReply);
+    const auto text = status != 0 && status != 200
+                        ? EtcdJson::ErrorText(mReply->readAll())
+                        : mReply->errorString().toStdString();
+    Fail({ KeyValueError::Effect::kNotApplied,
+           "the watch ended: " + text,
+           false });
+  }
+
+  void Fail(const KeyValueError& aError)
+  {
+    Close();
+    const auto onError = mOnError;
+    onError(aError);
+  }
+
+  std::shared_ptr<Shared> mShared;
+  std::string mPrefix;
+  std::int64_t mNextRevision;
+  std::function<void(const KeyEventBatch&)> mOnBatch;
+  std::function<void(const KeyValueError&)> mOnError;
+  std::size_t mEndpoint;
+  bool mCreated = false;
+  bool mClosed = false;
+  QByteArray mBuffer;
+  QPointer<QNetworkReply> mReply;
+  TimerHandle mIdle;
+};
+
+/// \brief Closes the stream when the holder drops the watch.
+class HttpKeyValueStore::WatchHandle : public KeyWatch
+{
+public:
+  explicit WatchHandle(std::shared_ptr<WatchStream> aStream)
+    : mStream(std::move(aStream))
+  {
+  }
+  ~WatchHandle() override { mStream->Close(); }
+  WatchHandle(const WatchHandle&) = delete;
+  WatchHandle& operator=(const WatchHandle&) = delete;
+
+private:
+  std::shared_ptr<WatchStream> mStream;
+};
+
+HttpKeyValueStore::HttpKeyValueStore(Scheduler& aScheduler,
+                                     KeyValueSettings aSettings)
+  : mShared(std::make_shared<Shared>(aScheduler, std::move(aSettings)))
+{
+}
+
+HttpKeyValueStore::~HttpKeyValueStore()
+{
+  // Calls refer to the shared state that holds them.
+  mShared->mCalls.clear();
+}
+
+template<typename T>
+void
+HttpKeyValueStore::Send(const char* aPath,
+                        QByteArray aBody,
+                        bool aRepeatable,
+                        Result<T> (*aParse)(const QByteArray&),
+                        KeyValueCallback<T> aCallback)
+{
+  const auto done = [aParse, aCallback = std::move(aCallback), aPath](
+                      const KeyValueResult<QByteArray>& aReply) {
+    if (!aReply) {
+      kLog.Debug(std::string(aPath) + ": " + aReply.error().mMessage);
+      aCallback(Failure(aReply.error()));
+      return;
+    }
+    auto parsed = aParse(aReply.value());
+    if (!parsed) {
+      // The service did answer, but the answer cannot be read, so a write may
+      // have taken effect.
+      aCallback(
+        Failure(KeyValueError{ KeyValueError::Effect::kUnknown,
+                               "malformed reply: " + parsed.error().mMessage,
+                               false }));
+      return;
+    }
+    aCallback(std::move(parsed).value());
+  };
+  auto call = std::make_shared<Call>(
+    *mShared, aPath, std::move(aBody), aRepeatable, done);
+  mShared->mCalls.insert(call);
+  call->Start();
+}
+
+void
+HttpKeyValueStore::Range(const std::string& aKey,
+                         bool aPrefix,
+                         KeyValueCallback<KeyRangeReply> aCallback)
+{
+  Send<KeyRangeReply>("/v3/kv/range",
+                      EtcdJson::RangeRequest(aKey, aPrefix),
+                      true,
+                      &EtcdJson::ParseRange,
+                      [aCallback](KeyValueResult<KeyRangeReply> aReply) {
+                        if (!aReply) {
+                          // A read never has an effect.
+                          auto error = aReply.error();
+                          error.mEffect = KeyValueError::Effect::kNotApplied;
+                          aCallback(Failure(std::move(error)));
+                          return;
+                        }
+                        aCallback(std::move(aReply));
+                      });
+}
+
+void
+HttpKeyValueStore::Commit(const KeyTransaction& aTransaction,
+                          KeyValueCallback<KeyTransactionReply> aCallback)
+{
+  Send<KeyTransactionReply>("/v3/kv/txn",
+                            EtcdJson::TransactionRequest(aTransaction),
+                            false,
+                            &EtcdJson::ParseTransaction,
+                            std::move(aCallback));
+}
+
+void
+HttpKeyValueStore::GrantLease(std::chrono::seconds aTtl,
+                              KeyValueCallback<std::int64_t> aCallback)
+{
+  Send<std::int64_t>("/v3/lease/grant",
+                     EtcdJson::GrantRequest(aTtl),
+                     false,
+                     &EtcdJson::ParseGrant,
+                     std::move(aCallback));
+}
+
+void
+HttpKeyValueStore::KeepAlive(std::int64_t aLease,
+                             KeyValueCallback<std::chrono::seconds> aCallback)
+{
+  Send<std::chrono::seconds>("/v3/lease/keepalive",
+                             EtcdJson::LeaseRequest(aLease),
+                             true,
+                             &EtcdJson::ParseKeepAlive,
+                             std::move(aCallback));
+}
+
+void
+HttpKeyValueStore::RevokeLease(std::int64_t aLease,
+                               KeyValueCallback<bool> aCallback)
+{
+  // Not repeated: after a lost reply the second answer would be "lease not
+  // found", which reads as a certain failure.
+  Send<bool>("/v3/lease/revoke",
+             EtcdJson::LeaseRequest(aLease),
+             false,
+             &EtcdJson::ParseRevoke,
+             std::move(aCallback));
+}
+
+std::unique_ptr<KeyWatch>
+HttpKeyValueStore::Watch(const std::string& aPrefix,
+                         std::int64_t aFromRevision,
+                         std::function<void(const KeyEventBatch&)> aOnBatch,
+                         std::function<void(const KeyValueError&)> aOnError)
+{
+  auto stream = std::make_shared<WatchStream>(
+    mShared, aPrefix, aFromRevision, std::move(aOnBatch), std::move(aOnError));
+  stream->Open();
+  return std::make_unique<WatchHandle>(std::move(stream));
+}
+
+} // namespace ragwortdeck
