Policy: Add the credit dispatcher and its parts

Cause: in rain independent dispatchers overload engine memory. Ruled out at this stage: nothing yet; the three views of engine load (reports, reports corrected by own work, owner credits) are modes of one dispatcher, so that only the view differs. Change: LengthEstimator, MemoryLedger, SafetyMargin, CreditOwner, CreditHolder, FairQueue, Placement, PrefixIndex, RetryBudget, OutlierEjector, PhaseTimeouts, CreditDispatcher; the benchmark carries credit messages.

--- a/Benchmarks/Policy/PolicyRun.cxx
+++ b/Benchmarks/Policy/PolicyRun.cxx
@@ -11,6 +11,7 @@
 /// A gap between tokens counts as a stall beyond this.
 constexpr Duration kStallThreshold{ std::chrono::milliseconds(250) };
 constexpr Duration kTickPeriod{ std::chrono::milliseconds(20) };
+constexpr Duration kCreditPeriod{ std::chrono::milliseconds(200) };
 constexpr Duration kReportPeriod{ std::chrono::seconds(1) };
 /// The host list shows a dead engine this late.
 constexpr Duration kHostListLag{ std::chrono::seconds(3) };
@@ -25,10 +26,11 @@
 /// The host, not the engine, is the limit of one share window's accuracy.
 constexpr std::uint32_t kLeastBackloggedTeams = 2;
 
+/// The number at the end of "entry-03" or "engine-07".
 std::uint32_t
-EngineIndex(const TargetId& aTarget)
+NumberOf(const std::string& aText)
 {
-  const auto& text = aTarget.Value();
+  const auto& text = aText;
   return static_cast<std::uint32_t>(
     std::stoul(text.substr(text.rfind('-') + 1)));
 }
@@ -75,9 +77,16 @@
     Router router;
     router.mDispatcher = MakeDispatcher(config, mScheduler);
     router.mDispatcher->OnView(view);
+    router.mOwner = std::make_unique<CreditOwner>(config.mHost, mScheduler);
+    router.mOwner->OnView(view);
     mRouters.push_back(std::move(router));
     const Duration phase(i * kTickPeriod.count() / mCase.mHosts);
     Every(kTickPeriod, phase, [this, i] { mRouters[i].mDispatcher->Tick(); });
+    const Duration creditPhase(i * kCreditPeriod.count() / mCase.mHosts);
+    Every(kCreditPeriod, creditPhase, [this, i] { ExchangeCredits(i); });
+    Every(std::chrono::seconds(1), creditPhase, [this, i] {
+      mRouters[i].mOwner->Tick();
+    });
   }
 }
 
@@ -123,6 +132,7 @@
   const auto view = mWorkload.View(Workload::EngineAt(0));
   for (auto& router : mRouters) {
     router.mDispatcher->OnView(view);
+    router.mOwner->OnView(view);
   }
 }
 
@@ -187,7 +197,7 @@
     mResult.mShortWait =
       std::max(mResult.mShortWait, mScheduler.Now() - request.mArrival->mTime);
   }
-  request.mEngine = EngineIndex(*target);
+  request.mEngine = NumberOf(target->Value());
   request.mPhase = Phase::kRunning;
   ++mTeams[request.mArrival->mTeam].mStreams;
   Start(aIndex);
@@ -323,11 +333,44 @@
     mScheduler.Post(mCase.mReportLag, [this, i, report] {
       for (auto& router : mRouters) {
         router.mDispatcher->OnLoadReport(Workload::EngineAt(i), report);
+        router.mOwner->OnLoadReport(Workload::EngineAt(i), report);
       }
     });
   }
 }
 
+bool
+PolicyRun::OwnersReachable() const
+{
+  const auto since = mScheduler.Now() - mStart;
+  return !mCase.mOwnersUnreachable || since < mCase.mArrivals / 3 ||
+         since >= mCase.mArrivals * 2 / 3;
+}
+
+void
+PolicyRun::ExchangeCredits(std::uint32_t aHost)
+{
+  for (const auto& request :
+       mRouters[aHost].mDispatcher->CollectCreditRequests()) {
+    mScheduler.Post(kLinkDelay,
+                    [this, aHost, request] { CarryRequest(aHost, request); });
+  }
+}
+
+void
+PolicyRun::CarryRequest(std::uint32_t aHost, const CreditRequest& aRequest)
+{
+  if (!OwnersReachable()) {
+    return;
+  }
+  mResult.mCreditMessages += 2;
+  const auto owner = NumberOf(aRequest.mOwner.Value());
+  const auto grant = mRouters[owner].mOwner->OnRequest(aRequest);
+  mScheduler.Post(kLinkDelay, [this, aHost, grant] {
+    mRouters[aHost].mDispatcher->OnCredits(grant);
+  });
+}
+
 void
 PolicyRun::CloseSecond()
 {
--- a/Benchmarks/Policy/PolicyRun.h
+++ b/Benchmarks/Policy/PolicyRun.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "Policy/CreditOwner.h"
 #include "Policy/Dispatcher.h"
 #include "Policy/EngineFake.h"
 #include "Policy/PolicyBenchmark.h"
@@ -58,7 +59,8 @@
   struct Router
   {
     std::unique_ptr<Dispatcher> mDispatcher;
-    bool mWakeUp = false;
+    /// The control process of the same host.
+    std::unique_ptr<CreditOwner> mOwner;
   };
 
   void MakeEngines();
@@ -80,6 +82,7 @@
   void OnLost(std::size_t aIndex);
   void ReportLoads();
   void ExchangeCredits(std::uint32_t aHost);
+  void CarryRequest(std::uint32_t aHost, const CreditRequest& aRequest);
   void CloseSecond();
   void CloseShareWindow();
   void RecordDownEngine();
--- /dev/null
+++ b/Source/Policy/CreditDispatcher.cxx
@@ -0,0 +1,779 @@
+#include "Policy/CreditDispatcher.h"
+
+#include <algorithm>
+#include <cmath>
+#include <utility>
+#include <xxhash.h>
+
+namespace ragwortdeck {
+
+namespace {
+
+/// Engines that one host uses per model. Bounds the cost of a decision and the
+/// number of owners a host talks to, however large the fleet is.
+constexpr std::size_t kEnginesPerHost = 32;
+/// Short questions may fill an engine up to this part of its memory.
+constexpr double kShortMemoryPart = 0.97;
+/// Without credits, a host may take at most this part of what seems free.
+constexpr double kBlindPart = 0.25;
+/// Assumed until streams have been measured: tokens per second of a stream.
+constexpr double kFirstStreamRate = 80.0;
+/// The fastest rate fades by this factor per measured stream.
+constexpr double kRateFade = 0.999;
+/// Streams shorter than this measure no rate.
+constexpr std::uint32_t kRateTokens = 32;
+constexpr double kFirstTypicalNeed = 1'000.0;
+constexpr double kNeedSmoothing = 0.05;
+/// Part of the expected time of an answer that must remain at its start. Most
+/// answers are shorter than the mean of a heavy-tailed length.
+constexpr double kExpectedTimePart = 0.5;
+constexpr double kSecondsPerToken = 0.025;
+/// A request is refused early when its wait is this many times what its
+/// deadline allows; the estimate of the wait is rough.
+constexpr double kHopelessFactor = 2.0;
+constexpr Duration kDrainPeriod{ std::chrono::seconds(1) };
+constexpr double kDrainSmoothing = 0.2;
+/// Queued requests that a blocked team asks room for at once.
+constexpr std::uint32_t kTeamWish = 8;
+/// Requests behind the head that a wish includes.
+constexpr std::size_t kQueueWish = 2;
+
+bool
+Contains(const auto& aList, const auto& aValue)
+{
+  return std::find(aList.begin(), aList.end(), aValue) != aList.end();
+}
+
+std::uint64_t
+ToTokens(double aValue)
+{
+  return static_cast<std::uint64_t>(std::ceil(std::max(aValue, 0.0)));
+}
+
+Duration
+ToDuration(double aSeconds)
+{
+  return Duration(static_cast<Duration::rep>(aSeconds * 1e6));
+}
+
+Verdict
+NoTarget()
+{
+  return { RunState::kNotRun,
+           503,
+           "no_target",
+           "no engine serves this model now; repeat later",
+           std::chrono::seconds(1) };
+}
+
+Verdict
+Overloaded(Duration aRetryAfter)
+{
+  const auto wait = std::chrono::ceil<std::chrono::milliseconds>(aRetryAfter);
+  return { RunState::kNotRun,
+           429,
+           "queue_full",
+           "the answer would come after its deadline; repeat later",
+           std::max<std::chrono::milliseconds>(wait, std::chrono::seconds(1)) };
+}
+
+/// Orders a host's engines when it uses only some of the fleet.
+std::uint64_t
+SubsetRank(const HostId& aHost, const TargetId& aTarget)
+{
+  const auto& host = aHost.Value();
+  const auto& target = aTarget.Value();
+  const auto seed = XXH3_64bits(host.data(), host.size());
+  return XXH3_64bits_withSeed(target.data(), target.size(), seed);
+}
+
+} // namespace
+
+CreditDispatcher::CreditDispatcher(const DispatcherConfig& aConfig,
+                                   const Clock& aClock)
+  : mConfig(aConfig)
+  , mClock(aClock)
+  , mHolder(aConfig.mHost, aConfig.mIncarnation, aClock)
+  , mLedger(aClock)
+  , mEjector(aClock, aConfig.mSeed + 1)
+  , mRetries(aClock)
+  , mPlacement(aConfig.mSeed)
+  , mStreamRate(kFirstStreamRate)
+  , mTypicalNeed(kFirstTypicalNeed)
+  , mDrainMeasured(aClock.Now())
+{
+}
+
+CreditDispatcher::TargetIndex
+CreditDispatcher::TargetIndexOf(const TargetId& aId)
+{
+  const auto next = static_cast<TargetIndex>(mTargets.size());
+  const auto [it, isNew] = mTargetIndex.emplace(aId, next);
+  if (isNew) {
+    EngineState target;
+    target.mId = aId;
+    target.mMemorySlot =
+      mHolder.SlotOf({ CreditKind::kTargetMemory, aId.Value() });
+    target.mBatchSlot =
+      mHolder.SlotOf({ CreditKind::kTargetSlots, aId.Value() });
+    mTargets.push_back(std::move(target));
+    mLedger.Add();
+    mEjector.Add();
+  }
+  return it->second;
+}
+
+void
+CreditDispatcher::OnView(std::shared_ptr<const SiteView> aView)
+{
+  mView = std::move(aView);
+  if (!mHasMembership) {
+    mHolder.SetHosts(mView->mEntryHosts.size(), mView->mEntryHosts);
+  }
+  ReadTargets();
+  ReadTeams();
+  ReadModels();
+}
+
+void
+CreditDispatcher::ReadTargets()
+{
+  for (auto& target : mTargets) {
+    target.mIsLive = false;
+  }
+  for (const auto& [id, target] : mView->mTargets) {
+    if (target.mRole == TargetRole::kEngine) {
+      ReadTarget(target);
+    }
+  }
+}
+
+void
+CreditDispatcher::ReadTarget(const Target& aTarget)
+{
+  auto& target = mTargets[TargetIndexOf(aTarget.mId)];
+  target.mIsLive = aTarget.mState == TargetState::kLive;
+  target.mIsSameDomain = aTarget.mFailureDomain == mConfig.mFailureDomain;
+  target.mAdapters = aTarget.mAdapters;
+  if (aTarget.mLoad.mMemoryTokens > 0) {
+    target.mMemoryTokens = static_cast<double>(aTarget.mLoad.mMemoryTokens);
+    target.mMaxBatch = std::max<double>(aTarget.mLoad.mMaxBatch, 1.0);
+  }
+}
+
+void
+CreditDispatcher::ReadTeams()
+{
+  for (auto& [name, team] : mTeams) {
+    const auto row = mView->mTable.mTeams.find(name);
+    if (row != mView->mTable.mTeams.end() && team.mRow != row->second) {
+      team.mRow = row->second;
+      mHolder.SetCap(team.mStreamSlot, team.mRow.mMaxConcurrent);
+      mHolder.SetCap(team.mRateSlot, team.mRow.mTokensPerSecond);
+      for (auto& [model, state] : mModels) {
+        state.mQueue.SetShare(name, team.mRow.mShare);
+      }
+      SetTeamBlocked(name, team, !TeamMayStart(team));
+    }
+  }
+}
+
+void
+CreditDispatcher::ReadModels()
+{
+  for (auto& [name, model] : mModels) {
+    model.mEngines.clear();
+  }
+  for (const auto& [id, target] : mView->mTargets) {
+    const auto index = mTargetIndex.find(id);
+    if (index == mTargetIndex.end() || !mTargets[index->second].mIsLive) {
+      continue;
+    }
+    for (const auto& model : target.mModels) {
+      mModels[model].mEngines.push_back(index->second);
+    }
+  }
+  std::vector<bool> isUsed(mTargets.size(), false);
+  for (auto& [name, model] : mModels) {
+    auto& engines = model.mEngines;
+    if (engines.size() > kEnginesPerHost) {
+      std::partial_sort(
+        engines.begin(),
+        engines.begin() + kEnginesPerHost,
+        engines.end(),
+        [this](auto aLeft, auto aRight) {
+          return SubsetRank(mConfig.mHost, mTargets[aLeft].mId) >
+                 SubsetRank(mConfig.mHost, mTargets[aRight].mId);
+        });
+      engines.resize(kEnginesPerHost);
+    }
+    for (const auto engine : engines) {
+      isUsed[engine] = true;
+    }
+  }
+  std::size_t live = 0;
+  for (TargetIndex i = 0; i < mTargets.size(); ++i) {
+    const auto& target = mTargets[i];
+    live += isUsed[i] ? 1 : 0;
+    // Only engines in use cost credit messages.
+    const bool asks = isUsed[i] && mConfig.mPolicy == DispatchPolicy::kCredits;
+    mHolder.SetCap(target.mMemorySlot,
+                   asks ? ToTokens(target.mMemoryTokens) : 0);
+    mHolder.SetCap(target.mBatchSlot, asks ? ToTokens(target.mMaxBatch) : 0);
+  }
+  mEjector.SetLiveCount(live);
+}
+
+CreditDispatcher::TeamState&
+CreditDispatcher::TeamOf(const TeamName& aTeam)
+{
+  const auto [it, isNew] = mTeams.try_emplace(aTeam);
+  auto& team = it->second;
+  if (!isNew) {
+    return team;
+  }
+  if (mView) {
+    const auto row = mView->mTable.mTeams.find(aTeam);
+    team.mRow = row == mView->mTable.mTeams.end() ? TeamRow() : row->second;
+  }
+  const auto& name = aTeam.Value();
+  team.mStreamSlot = mHolder.SlotOf({ CreditKind::kTeamStreams, name });
+  team.mRateSlot = mHolder.SlotOf({ CreditKind::kTeamTokenRate, name });
+  mHolder.SetCap(team.mStreamSlot, team.mRow.mMaxConcurrent);
+  mHolder.SetCap(team.mRateSlot, team.mRow.mTokensPerSecond);
+  mTeamOfSlot.emplace(team.mStreamSlot, aTeam);
+  mTeamOfSlot.emplace(team.mRateSlot, aTeam);
+  return team;
+}
+
+std::optional<Verdict>
+CreditDispatcher::RefuseAtOnce(const RequestTraits& aTraits,
+                               const ModelState* aModel,
+                               MonotonicTime aLatestStart) const
+{
+  if (aModel == nullptr ||
+      std::none_of(
+        aModel->mEngines.begin(), aModel->mEngines.end(), [&](auto aEngine) {
+          return MayServe(mTargets[aEngine], aTraits);
+        })) {
+    return NoTarget();
+  }
+  const auto now = mClock.Now();
+  if (aLatestStart < now) {
+    return Overloaded(Duration::zero());
+  }
+  if (aModel->mDrainRate <= 0.0) {
+    return std::nullopt;
+  }
+  const auto seconds = aModel->mQueue.BacklogPerShare(aTraits.mTeam) *
+                       aModel->mQueue.ActiveShares() / aModel->mDrainRate;
+  const auto wait = ToDuration(seconds / kHopelessFactor);
+  if (now + wait <= aLatestStart) {
+    return std::nullopt;
+  }
+  return Overloaded(wait - (aLatestStart - now));
+}
+
+Ticket
+CreditDispatcher::Refuse(Ticket aTicket,
+                         const DispatchCallback& aCallback,
+                         const Verdict& aVerdict)
+{
+  ++mCounts.mRefused;
+  aCallback(aVerdict);
+  return aTicket;
+}
+
+Ticket
+CreditDispatcher::Submit(const RequestTraits& aTraits,
+                         DispatchCallback aCallback)
+{
+  const auto ticket = mNextTicket++;
+  mRetries.OnRequest();
+  Waiting waiting{ aTraits, std::move(aCallback) };
+  waiting.mCurve = mLengths.CurveOf(aTraits.mTeam, aTraits.mKind);
+  const auto length =
+    mLengths.Remaining(waiting.mCurve, 0, aTraits.mMaxOutputTokens);
+  waiting.mNeed = MemoryLedger::Committed(aTraits.mPromptTokens, length);
+  const auto latestStart =
+    aTraits.mDeadline -
+    ToDuration(length * kExpectedTimePart * kSecondsPerToken);
+  const auto model = mModels.find(aTraits.mModel);
+  auto* state = model == mModels.end() ? nullptr : &model->second;
+  if (const auto verdict = RefuseAtOnce(aTraits, state, latestStart)) {
+    return Refuse(ticket, waiting.mCallback, *verdict);
+  }
+  auto& team = TeamOf(aTraits.mTeam);
+  if (aTraits.mClass == KindClass::kLong) {
+    mTypicalNeed += kNeedSmoothing * (waiting.mNeed - mTypicalNeed);
+  }
+  QueuedRequest queued;
+  queued.mTicket = ticket;
+  queued.mTeam = aTraits.mTeam;
+  queued.mClass = aTraits.mClass;
+  queued.mPriority = aTraits.mPriority;
+  queued.mCost = aTraits.mPromptTokens + length;
+  queued.mArrival = mClock.Now();
+  queued.mDeadline = aTraits.mDeadline;
+  queued.mLatestStart = latestStart;
+  state->mQueue.SetShare(aTraits.mTeam, team.mRow.mShare);
+  state->mQueue.SetBlocked(aTraits.mTeam, team.mIsBlocked);
+  if (!state->mQueue.Push(queued)) {
+    return Refuse(
+      ticket, waiting.mCallback, Overloaded(std::chrono::seconds(5)));
+  }
+  ++team.mQueued;
+  mWaiting.emplace(ticket, std::move(waiting));
+  Pump(*state);
+  return ticket;
+}
+
+bool
+CreditDispatcher::TeamMayStart(TeamState& aTeam) const
+{
+  const auto next = aTeam.mStreams + 1;
+  if (aTeam.mRow.mMaxConcurrent > 0 &&
+      next > mHolder.Allowed(aTeam.mStreamSlot)) {
+    return false;
+  }
+  return aTeam.mRow.mTokensPerSecond == 0 ||
+         ToTokens(next * mStreamRate) <= mHolder.Allowed(aTeam.mRateSlot);
+}
+
+void
+CreditDispatcher::SetTeamBlocked(const TeamName& aName,
+                                 TeamState& aTeam,
+                                 bool aBlocked)
+{
+  if (aTeam.mIsBlocked == aBlocked) {
+    return;
+  }
+  aTeam.mIsBlocked = aBlocked;
+  for (auto& [name, model] : mModels) {
+    model.mQueue.SetBlocked(aName, aBlocked);
+  }
+}
+
+void
+CreditDispatcher::UpdateTeamUse(TeamState& aTeam)
+{
+  const auto wanted = std::min(aTeam.mQueued, kTeamWish);
+  mHolder.SetUse(aTeam.mStreamSlot, aTeam.mStreams);
+  mHolder.SetWanted(aTeam.mStreamSlot, wanted, 0);
+  mHolder.SetUse(aTeam.mRateSlot, ToTokens(aTeam.mStreams * mStreamRate));
+  mHolder.SetWanted(aTeam.mRateSlot, ToTokens(wanted * mStreamRate), 0);
+}
+
+bool
+CreditDispatcher::MayServe(const EngineState& aTarget,
+                           const RequestTraits& aTraits) const
+{
+  return aTarget.mIsLive && !Contains(aTraits.mExcluded, aTarget.mId) &&
+         (aTraits.mAdapter.empty() ||
+          Contains(aTarget.mAdapters, aTraits.mAdapter));
+}
+
+MemoryLedger::Load
+CreditDispatcher::LoadOf(TargetIndex aTarget) const
+{
+  const auto& target = mTargets[aTarget];
+  if (mConfig.mPolicy == DispatchPolicy::kIndependent) {
+    return mLedger.Reported(aTarget);
+  }
+  if (mConfig.mPolicy == DispatchPolicy::kCorrected ||
+      !mHolder.IsFresh(target.mMemorySlot)) {
+    return mLedger.Corrected(aTarget);
+  }
+  const auto& own = mLedger.Own(aTarget);
+  const auto others = mHolder.OthersUse(target.mMemorySlot);
+  const auto streams = mHolder.OthersUse(target.mBatchSlot);
+  return { own.mMemory + static_cast<double>(others),
+           own.mStreams + static_cast<double>(streams) };
+}
+
+bool
+CreditDispatcher::HasRoom(TargetIndex aTarget,
+                          const MemoryLedger::Load& aLoad,
+                          const Waiting& aWaiting) const
+{
+  const auto& target = mTargets[aTarget];
+  const auto weight = mEjector.Weight(aTarget);
+  const auto memory = target.mMemoryTokens * weight;
+  if (aLoad.mStreams + 1.0 > target.mMaxBatch * weight) {
+    return false;
+  }
+  if (aWaiting.mTraits.mClass == KindClass::kShort) {
+    return aLoad.mMemory + aWaiting.mNeed <= memory * kShortMemoryPart;
+  }
+  const auto limit = memory * (1.0 - mLedger.Margin(aTarget));
+  const auto& own = mLedger.Own(aTarget);
+  // An answer larger than the engine's usual room may run on an empty engine.
+  if (own.mStreams < 0.5 && aLoad.mStreams < 0.5) {
+    return true;
+  }
+  if (mConfig.mPolicy == DispatchPolicy::kCredits &&
+      mHolder.IsFresh(target.mMemorySlot)) {
+    const auto allowed = mHolder.Allowed(target.mMemorySlot);
+    const auto streams = mHolder.Allowed(target.mBatchSlot);
+    return aLoad.mMemory + aWaiting.mNeed <= limit &&
+           own.mMemory + aWaiting.mNeed <= static_cast<double>(allowed) &&
+           own.mStreams + 1.0 <= static_cast<double>(streams);
+  }
+  if (mConfig.mPolicy == DispatchPolicy::kCredits) {
+    // The owner is unreachable: other hosts are as blind as this one.
+    return aWaiting.mNeed <= (limit - aLoad.mMemory) * kBlindPart;
+  }
+  return aLoad.mMemory + aWaiting.mNeed <= limit;
+}
+
+std::optional<CreditDispatcher::TargetIndex>
+CreditDispatcher::ChooseTarget(const ModelState& aModel,
+                               const Waiting& aWaiting)
+{
+  mCandidates.clear();
+  const auto now = mClock.Now();
+  for (const auto engine : aModel.mEngines) {
+    const auto& target = mTargets[engine];
+    if (mEjector.IsEjected(engine) || !MayServe(target, aWaiting.mTraits)) {
+      continue;
+    }
+    const auto load = LoadOf(engine);
+    if (!HasRoom(engine, load, aWaiting)) {
+      continue;
+    }
+    PlacementCandidate candidate;
+    candidate.mTarget = engine;
+    candidate.mMemoryPart =
+      (load.mMemory + aWaiting.mNeed) / std::max(target.mMemoryTokens, 1.0);
+    candidate.mBatchPart = (load.mStreams + 1.0) / target.mMaxBatch;
+    candidate.mIsSameDomain = target.mIsSameDomain;
+    const auto& hashes = aWaiting.mTraits.mPrefixHashes;
+    if (!hashes.empty()) {
+      const auto match = target.mPrefixes.Match(hashes, now);
+      candidate.mCachedPart =
+        static_cast<double>(match) / static_cast<double>(hashes.size());
+    }
+    mCandidates.push_back(candidate);
+  }
+  return mPlacement.Choose(mCandidates);
+}
+
+void
+CreditDispatcher::Pump(ModelState& aModel)
+{
+  PumpLane(aModel, KindClass::kShort);
+  PumpLane(aModel, KindClass::kLong);
+}
+
+void
+CreditDispatcher::PumpLane(ModelState& aModel, KindClass aLane)
+{
+  while (const auto* head = aModel.mQueue.Head(aLane)) {
+    const auto& waiting = mWaiting.at(head->mTicket);
+    const auto& name = waiting.mTraits.mTeam;
+    auto& team = TeamOf(name);
+    if (!TeamMayStart(team)) {
+      SetTeamBlocked(TeamName(name), team, true);
+      continue;
+    }
+    // The head waits for room rather than let smaller requests overtake it
+    // for ever.
+    const auto target = ChooseTarget(aModel, waiting);
+    if (!target) {
+      return;
+    }
+    Dispatch(aModel, aLane, *target);
+  }
+}
+
+void
+CreditDispatcher::Dispatch(ModelState& aModel,
+                           KindClass aLane,
+                           TargetIndex aTarget)
+{
+  const auto queued = aModel.mQueue.Pop(aLane);
+  aModel.mDrained += queued.mCost;
+  auto node = mWaiting.extract(queued.mTicket);
+  const auto& waiting = node.mapped();
+  auto& team = TeamOf(queued.mTeam);
+  Stream stream;
+  stream.mTarget = aTarget;
+  stream.mTeam = &team;
+  stream.mCurve = waiting.mCurve;
+  stream.mPrompt = waiting.mTraits.mPromptTokens;
+  stream.mMaxOutput = waiting.mTraits.mMaxOutputTokens;
+  stream.mCommitted = waiting.mNeed;
+  stream.mLimits =
+    PhaseTimeouts::At(mClock.Now(), queued.mDeadline, stream.mPrompt);
+  mLedger.AddStream(aTarget, stream.mCommitted);
+  UpdateTargetUse(aTarget);
+  --team.mQueued;
+  ++team.mStreams;
+  UpdateTeamUse(team);
+  ++mCounts.mDispatched;
+  mStreams.emplace(queued.mTicket, stream);
+  waiting.mCallback(mTargets[aTarget].mId);
+}
+
+void
+CreditDispatcher::UpdateTargetUse(TargetIndex aTarget)
+{
+  const auto& own = mLedger.Own(aTarget);
+  mHolder.SetUse(mTargets[aTarget].mMemorySlot, ToTokens(own.mMemory));
+  mHolder.SetUse(mTargets[aTarget].mBatchSlot, ToTokens(own.mStreams));
+}
+
+void
+CreditDispatcher::OnTokens(Ticket aTicket, std::uint32_t aTokens)
+{
+  const auto it = mStreams.find(aTicket);
+  if (it == mStreams.end() || aTokens == 0) {
+    return;
+  }
+  auto& stream = it->second;
+  if (stream.mGenerated == 0) {
+    mEjector.OnSuccess(stream.mTarget);
+    stream.mFirstToken = mClock.Now();
+  }
+  const auto before = stream.mGenerated;
+  stream.mGenerated += aTokens;
+  mLengths.OnProgress(stream.mCurve, before, stream.mGenerated);
+  const auto growth =
+    mLengths.Remaining(stream.mCurve, stream.mGenerated, stream.mMaxOutput);
+  const auto committed =
+    MemoryLedger::Committed(stream.mPrompt + stream.mGenerated, growth);
+  mLedger.ChangeStream(stream.mTarget, committed - stream.mCommitted);
+  stream.mCommitted = committed;
+  UpdateTargetUse(stream.mTarget);
+}
+
+void
+CreditDispatcher::Release(Ticket aTicket, Stream& aStream)
+{
+  mLedger.RemoveStream(aStream.mTarget, aStream.mCommitted);
+  UpdateTargetUse(aStream.mTarget);
+  const auto seconds =
+    std::chrono::duration<double>(mClock.Now() - aStream.mFirstToken).count();
+  if (aStream.mGenerated >= kRateTokens && seconds > 0.0) {
+    const auto rate = aStream.mGenerated / seconds;
+    mStreamRate = std::max(mStreamRate * kRateFade, rate);
+  }
+  auto& team = *aStream.mTeam;
+  --team.mStreams;
+  UpdateTeamUse(team);
+  mStreams.erase(aTicket);
+}
+
+void
+CreditDispatcher::OnFinished(Ticket aTicket, DispatchOutcome aOutcome)
+{
+  const auto it = mStreams.find(aTicket);
+  if (it == mStreams.end()) {
+    return;
+  }
+  auto& stream = it->second;
+  if (aOutcome == DispatchOutcome::kCompleted) {
+    mLengths.OnEnd(stream.mCurve, stream.mGenerated);
+  } else if (aOutcome != DispatchOutcome::kCancelled) {
+    mEjector.OnFailure(stream.mTarget);
+  }
+  Release(aTicket, stream);
+}
+
+void
+CreditDispatcher::Cancel(Ticket aTicket)
+{
+  const auto waiting = mWaiting.find(aTicket);
+  if (waiting == mWaiting.end()) {
+    OnFinished(aTicket, DispatchOutcome::kCancelled);
+    return;
+  }
+  const auto& traits = waiting->second.mTraits;
+  mModels[traits.mModel].mQueue.Remove(aTicket);
+  auto& team = TeamOf(traits.mTeam);
+  --team.mQueued;
+  UpdateTeamUse(team);
+  mWaiting.erase(waiting);
+}
+
+void
+CreditDispatcher::OnLoadReport(const TargetId& aTarget,
+                               const LoadReport& aReport)
+{
+  const auto it = mTargetIndex.find(aTarget);
+  if (it == mTargetIndex.end()) {
+    return;
+  }
+  mLedger.OnReport(it->second, aReport);
+  auto& target = mTargets[it->second];
+  if (aReport.mMemoryTokens > 0 && aReport.mMaxBatch > 0) {
+    target.mMemoryTokens = static_cast<double>(aReport.mMemoryTokens);
+    target.mMaxBatch = aReport.mMaxBatch;
+  }
+}
+
+void
+CreditDispatcher::RefuseExpired(ModelState& aModel)
+{
+  for (const auto ticket : aModel.mQueue.TakeExpired(mClock.Now())) {
+    auto node = mWaiting.extract(ticket);
+    auto& team = TeamOf(node.mapped().mTraits.mTeam);
+    --team.mQueued;
+    UpdateTeamUse(team);
+    Refuse(
+      ticket, node.mapped().mCallback, Overloaded(std::chrono::seconds(10)));
+  }
+}
+
+void
+CreditDispatcher::MeasureDrain(Duration aElapsed)
+{
+  const auto seconds = std::chrono::duration<double>(aElapsed).count();
+  for (auto& [name, model] : mModels) {
+    const bool waits = model.mQueue.Size() > 0;
+    if (waits && model.mHasWaited) {
+      const auto rate = model.mDrained / seconds;
+      model.mDrainRate =
+        model.mDrainRate <= 0.0
+          ? rate
+          : model.mDrainRate + kDrainSmoothing * (rate - model.mDrainRate);
+    }
+    model.mHasWaited = waits;
+    model.mDrained = 0.0;
+  }
+}
+
+void
+CreditDispatcher::Tick()
+{
+  mEjector.Tick();
+  const auto elapsed = mClock.Now() - mDrainMeasured;
+  if (elapsed >= kDrainPeriod) {
+    MeasureDrain(elapsed);
+    mDrainMeasured = mClock.Now();
+  }
+  for (auto& [name, team] : mTeams) {
+    if (team.mIsBlocked && TeamMayStart(team)) {
+      SetTeamBlocked(name, team, false);
+    }
+  }
+  for (auto& [name, model] : mModels) {
+    RefuseExpired(model);
+    Pump(model);
+  }
+}
+
+std::optional<CreditDispatcher::TargetIndex>
+CreditDispatcher::EmptiestEngine(const ModelState& aModel) const
+{
+  std::optional<TargetIndex> best;
+  double least = 0.0;
+  for (const auto engine : aModel.mEngines) {
+    if (mEjector.IsEjected(engine)) {
+      continue;
+    }
+    const auto part =
+      LoadOf(engine).mMemory / std::max(mTargets[engine].mMemoryTokens, 1.0);
+    if (!best || part < least) {
+      best = engine;
+      least = part;
+    }
+  }
+  return best;
+}
+
+void
+CreditDispatcher::WantForModel(ModelState& aModel)
+{
+  for (const auto engine : aModel.mEngines) {
+    mHolder.SetWanted(mTargets[engine].mMemorySlot, 0, 0);
+    mHolder.SetWanted(mTargets[engine].mBatchSlot, 1, 0);
+  }
+  const auto engine = EmptiestEngine(aModel);
+  if (!engine) {
+    return;
+  }
+  const auto& target = mTargets[*engine];
+  const auto* head = aModel.mQueue.Head(KindClass::kLong);
+  if (head == nullptr) {
+    mHolder.SetWanted(target.mMemorySlot, ToTokens(mTypicalNeed), 0);
+    return;
+  }
+  const auto need = mWaiting.at(head->mTicket).mNeed;
+  const auto more = std::min(aModel.mQueue.Size() - 1, kQueueWish);
+  mHolder.SetWanted(
+    target.mMemorySlot, ToTokens(need + more * mTypicalNeed), ToTokens(need));
+  mHolder.SetWanted(target.mBatchSlot, more + 1, 1);
+}
+
+std::vector<CreditRequest>
+CreditDispatcher::CollectCreditRequests()
+{
+  if (mConfig.mPolicy == DispatchPolicy::kCredits) {
+    for (auto& [name, model] : mModels) {
+      WantForModel(model);
+    }
+  }
+  for (auto& [name, team] : mTeams) {
+    UpdateTeamUse(team);
+  }
+  return mHolder.Collect();
+}
+
+void
+CreditDispatcher::OnCredits(const CreditGrant& aGrant)
+{
+  for (const auto slot : mHolder.OnGrant(aGrant)) {
+    const auto name = mTeamOfSlot.find(slot);
+    if (name == mTeamOfSlot.end()) {
+      continue;
+    }
+    auto& team = mTeams.at(name->second);
+    if (team.mIsBlocked && TeamMayStart(team)) {
+      SetTeamBlocked(name->second, team, false);
+    }
+  }
+}
+
+void
+CreditDispatcher::OnOwners(const std::vector<HostId>& aLiveHosts)
+{
+  mHasMembership = true;
+  const auto listed = mView ? mView->mEntryHosts.size() : aLiveHosts.size();
+  mHolder.SetHosts(listed, aLiveHosts);
+}
+
+void
+CreditDispatcher::OnCacheEvents(const TargetId& aTarget,
+                                const CacheEvents& aEvents)
+{
+  const auto it = mTargetIndex.find(aTarget);
+  if (it != mTargetIndex.end()) {
+    mTargets[it->second].mPrefixes.OnEvents(aEvents, mClock.Now());
+  }
+}
+
+bool
+CreditDispatcher::TryRetry(const RequestTraits& /*aTraits*/)
+{
+  return mRetries.TrySpend();
+}
+
+PhaseLimits
+CreditDispatcher::Limits(Ticket aTicket) const
+{
+  const auto it = mStreams.find(aTicket);
+  return it == mStreams.end() ? PhaseLimits() : it->second.mLimits;
+}
+
+DispatchCounts
+CreditDispatcher::Counts() const
+{
+  auto counts = mCounts;
+  counts.mQueued = mWaiting.size();
+  counts.mRunning = mStreams.size();
+  counts.mEjectedTargets = mEjector.Ejected();
+  return counts;
+}
+
+} // namespace ragwortdeck
--- /dev/null
+++ b/Source/Policy/CreditHolder.cxx
@@ -0,0 +1,164 @@
+#include "Policy/CreditHolder.h"
+
+#include <utility>
+
+namespace ragwortdeck {
+
+namespace {
+
+/// Unanswered requests kept per owner; older ones would lapse anyway.
+constexpr std::size_t kMaxSent = 16;
+
+} // namespace
+
+CreditHolder::CreditHolder(HostId aHost,
+                           std::uint64_t aIncarnation,
+                           const Clock& aClock)
+  : mHost(std::move(aHost))
+  , mIncarnation(aIncarnation)
+  , mClock(aClock)
+{
+}
+
+CreditHolder::Slot
+CreditHolder::SlotOf(const CreditKey& aKey)
+{
+  const auto next = static_cast<Slot>(mLimits.size());
+  const auto [it, isNew] = mSlots.emplace(aKey, next);
+  if (isNew) {
+    Limit limit;
+    limit.mKey = aKey;
+    limit.mOwner = CreditOwnerOf(aKey.mName, mLive);
+    mLimits.push_back(std::move(limit));
+  }
+  return it->second;
+}
+
+void
+CreditHolder::SetCap(Slot aSlot, std::uint64_t aCap)
+{
+  auto& limit = mLimits[aSlot];
+  limit.mSplit = SplitCap(limit.mKey.mKind, aCap, mListed);
+}
+
+void
+CreditHolder::SetHosts(std::size_t aListed, std::vector<HostId> aLive)
+{
+  mListed = aListed;
+  const bool ownersChange = aLive != mLive;
+  mLive = std::move(aLive);
+  for (auto& limit : mLimits) {
+    limit.mSplit = SplitCap(limit.mKey.mKind, limit.mSplit.mCap, mListed);
+    if (ownersChange) {
+      limit.mOwner = CreditOwnerOf(limit.mKey.mName, mLive);
+    }
+  }
+}
+
+void
+CreditHolder::SetWanted(Slot aSlot,
+                        std::uint64_t aWanted,
+                        std::uint64_t aMinimum)
+{
+  mLimits[aSlot].mWanted = aWanted;
+  mLimits[aSlot].mMinimum = aMinimum;
+}
+
+bool
+CreditHolder::IsFresh(Slot aSlot) const
+{
+  return mClock.Now() < mLimits[aSlot].mLapses;
+}
+
+std::uint64_t
+CreditHolder::Allowed(Slot aSlot) const
+{
+  const auto& limit = mLimits[aSlot];
+  return limit.mSplit.mStaticPerHost + (IsFresh(aSlot) ? limit.mGranted : 0);
+}
+
+std::vector<CreditRequest>
+CreditHolder::Collect()
+{
+  std::map<HostId, CreditRequest> requests;
+  std::map<HostId, SentRequest> sent;
+  const auto now = mClock.Now();
+  for (Slot slot = 0; slot < mLimits.size(); ++slot) {
+    const auto& limit = mLimits[slot];
+    if (limit.mSplit.mCap == 0 || limit.mOwner.IsEmpty()) {
+      continue;
+    }
+    // A team that this host neither serves nor expects costs no message.
+    if (IsHardLimit(limit.mKey.mKind) && limit.mUse + limit.mWanted == 0 &&
+        limit.mGranted == 0) {
+      continue;
+    }
+    requests[limit.mOwner].mAsks.push_back({ limit.mKey.mKind,
+                                             limit.mKey.mName,
+                                             limit.mUse,
+                                             limit.mWanted,
+                                             limit.mMinimum });
+    sent[limit.mOwner].mUse.emplace(slot, limit.mUse);
+  }
+  std::vector<CreditRequest> result;
+  for (auto& [owner, request] : requests) {
+    auto& state = mOwners[owner];
+    request.mFrom = mHost;
+    request.mOwner = owner;
+    request.mSequence = ++state.mSequence;
+    request.mAcknowledged = state.mAcknowledged;
+    request.mIncarnation = mIncarnation;
+    sent[owner].mTime = now;
+    state.mSent.emplace(request.mSequence, std::move(sent[owner]));
+    if (state.mSent.size() > kMaxSent) {
+      state.mSent.erase(state.mSent.begin());
+    }
+    result.push_back(std::move(request));
+  }
+  return result;
+}
+
+void
+CreditHolder::ApplyShare(const CreditShare& aShare,
+                         const CreditGrant& aGrant,
+                         const SentRequest& aSent,
+                         std::vector<Slot>& aChanged)
+{
+  const auto it = mSlots.find({ aShare.mKind, aShare.mName });
+  // A former owner's late grant must not add to the new owner's.
+  if (it == mSlots.end() || mLimits[it->second].mOwner != aGrant.mOwner) {
+    return;
+  }
+  auto& limit = mLimits[it->second];
+  limit.mGranted = aShare.mAmount;
+  limit.mLapses = aSent.mTime + Duration(aGrant.mLifetimeMicros);
+  const auto stated = aSent.mUse.find(it->second);
+  const auto own = stated == aSent.mUse.end() ? 0 : stated->second;
+  limit.mOthers = aShare.mFleetUse > own ? aShare.mFleetUse - own : 0;
+  aChanged.push_back(it->second);
+}
+
+std::vector<CreditHolder::Slot>
+CreditHolder::OnGrant(const CreditGrant& aGrant)
+{
+  std::vector<Slot> changed;
+  const auto owner = mOwners.find(aGrant.mOwner);
+  if (aGrant.mTo != mHost || aGrant.mIncarnation != mIncarnation ||
+      owner == mOwners.end()) {
+    return changed;
+  }
+  auto& state = owner->second;
+  const auto sent = state.mSent.find(aGrant.mSequence);
+  if (sent == state.mSent.end()) {
+    return changed;
+  }
+  for (const auto& share : aGrant.mShares) {
+    ApplyShare(share, aGrant, sent->second, changed);
+  }
+  state.mAcknowledged = aGrant.mSequence;
+  // Grants replace earlier ones, so answers to earlier requests are void.
+  state.mSent.erase(state.mSent.begin(), std::next(sent));
+  return changed;
+}
+
+} // namespace ragwortdeck
--- /dev/null
+++ b/Source/Policy/CreditOwnership.cxx
@@ -0,0 +1,56 @@
+#include "Policy/CreditOwnership.h"
+
+#include <algorithm>
+#include <xxhash.h>
+
+namespace ragwortdeck {
+
+namespace {
+
+/// Part of a hard cap that is split evenly among all hosts. The rest follows
+/// the demand; half keeps hosts useful when the owner is unreachable.
+constexpr double kStaticPart = 0.5;
+
+std::uint64_t
+Rank(const std::string& aName, const HostId& aHost)
+{
+  const auto seed = XXH3_64bits(aName.data(), aName.size());
+  const auto& host = aHost.Value();
+  return XXH3_64bits_withSeed(host.data(), host.size(), seed);
+}
+
+} // namespace
+
+std::size_t
+CreditKeyHash::operator()(const CreditKey& aKey) const noexcept
+{
+  return XXH3_64bits_withSeed(aKey.mName.data(),
+                              aKey.mName.size(),
+                              static_cast<std::uint64_t>(aKey.mKind));
+}
+
+CreditSplit
+SplitCap(CreditKind aKind, std::uint64_t aCap, std::size_t aHosts)
+{
+  CreditSplit split;
+  split.mCap = aCap;
+  if (IsHardLimit(aKind) && aHosts > 0) {
+    const auto part = static_cast<double>(aCap) * kStaticPart;
+    split.mStaticPerHost =
+      static_cast<std::uint64_t>(part / static_cast<double>(aHosts));
+  }
+  split.mDynamic = aCap - split.mStaticPerHost * aHosts;
+  return split;
+}
+
+HostId
+CreditOwnerOf(const std::string& aName, const std::vector<HostId>& aHosts)
+{
+  const auto best = std::max_element(
+    aHosts.begin(), aHosts.end(), [&](const auto& aLeft, const auto& aRight) {
+      return Rank(aName, aLeft) < Rank(aName, aRight);
+    });
+  return best == aHosts.end() ? HostId() : *best;
+}
+
+} // namespace ragwortdeck
--- /dev/null
+++ b/Source/Policy/MemoryLedger.cxx
@@ -0,0 +1,128 @@
+#include "Policy/MemoryLedger.h"
+
+#include <algorithm>
+
+namespace ragwortdeck {
+
+namespace {
+
+/// Part of the expected growth that counts at once. Streams end at different
+/// times, so that the memory of one pays for the growth of others.
+constexpr double kGrowthPart = 0.15;
+/// Reports state held tokens only; this turns them into committed ones.
+constexpr double kReportedGrowth = 1.1;
+/// Resolution and number of the snapshots: they cover 16 s of report lag.
+constexpr Duration kSnapshotPeriod{ std::chrono::milliseconds(250) };
+constexpr std::size_t kSnapshots = 64;
+/// Expected memory of a stream that waits inside the engine.
+constexpr double kWaitingMemory = 1'000.0;
+
+} // namespace
+
+MemoryLedger::MemoryLedger(const Clock& aClock)
+  : mClock(aClock)
+{
+}
+
+MemoryLedger::Index
+MemoryLedger::Add()
+{
+  mEngines.emplace_back();
+  return static_cast<Index>(mEngines.size() - 1);
+}
+
+double
+MemoryLedger::Committed(double aHeld, double aExpectedGrowth)
+{
+  return aHeld + kGrowthPart * aExpectedGrowth;
+}
+
+void
+MemoryLedger::Record(EngineState& aEngine)
+{
+  const auto now = mClock.Now();
+  auto& history = aEngine.mHistory;
+  if (!history.empty() && now - history.back().mTime < kSnapshotPeriod) {
+    return;
+  }
+  history.push_back({ now, aEngine.mOwn });
+  if (history.size() > kSnapshots) {
+    history.pop_front();
+  }
+}
+
+void
+MemoryLedger::AddStream(Index aEngine, double aCommitted)
+{
+  auto& engine = mEngines[aEngine];
+  Record(engine);
+  engine.mOwn.mMemory += aCommitted;
+  engine.mOwn.mStreams += 1.0;
+}
+
+void
+MemoryLedger::ChangeStream(Index aEngine, double aCommittedDelta)
+{
+  auto& engine = mEngines[aEngine];
+  Record(engine);
+  engine.mOwn.mMemory += aCommittedDelta;
+}
+
+void
+MemoryLedger::RemoveStream(Index aEngine, double aCommitted)
+{
+  auto& engine = mEngines[aEngine];
+  Record(engine);
+  engine.mOwn.mStreams -= 1.0;
+  const bool isEmpty = engine.mOwn.mStreams < 0.5;
+  // Sums of doubles drift; an empty engine restarts from zero.
+  engine.mOwn.mMemory =
+    isEmpty ? 0.0 : std::max(engine.mOwn.mMemory - aCommitted, 0.0);
+}
+
+void
+MemoryLedger::OnReport(Index aEngine, const LoadReport& aReport)
+{
+  auto& engine = mEngines[aEngine];
+  const auto measured = mClock.Now() - Duration(aReport.mAgeMicros);
+  if (measured < engine.mMeasured) {
+    return;
+  }
+  engine.mMargin.OnReport(aReport);
+  engine.mMeasured = measured;
+  engine.mReported.mMemory =
+    static_cast<double>(aReport.mMemoryUsedTokens) * kReportedGrowth +
+    aReport.mWaiting * kWaitingMemory;
+  engine.mReported.mStreams = aReport.mRunning + aReport.mWaiting;
+}
+
+MemoryLedger::Load
+MemoryLedger::Reported(Index aEngine) const
+{
+  return mEngines[aEngine].mReported;
+}
+
+MemoryLedger::Load
+MemoryLedger::OwnAt(const EngineState& aEngine, MonotonicTime aTime) const
+{
+  const auto later =
+    std::find_if(aEngine.mHistory.begin(),
+                 aEngine.mHistory.end(),
+                 [aTime](const auto& aOne) { return aOne.mTime >= aTime; });
+  return later == aEngine.mHistory.end() ? aEngine.mOwn : later->mOwn;
+}
+
+MemoryLedger::Load
+MemoryLedger::Corrected(Index aEngine) const
+{
+  const auto& engine = mEngines[aEngine];
+  const auto then = OwnAt(engine, engine.mMeasured);
+  const auto& own = engine.mOwn;
+  // The others' part cannot be negative, whatever the report says.
+  const auto others = std::max(engine.mReported.mMemory - then.mMemory, 0.0);
+  const auto othersStreams =
+    std::max(engine.mReported.mStreams - then.mStreams, 0.0);
+  return { others + own.mMemory, othersStreams + own.mStreams };
+}
+
+} // namespace ragwortdeck
--- /dev/null
+++ b/Source/Policy/OutlierEjector.h
@@ -0,0 +1,53 @@
+#pragma once
+
+#include "Core/Clock.h"
+#include "Core/RandomSource.h"
+
+#include <cstdint>
+#include <set>
+#include <vector>
+
+namespace ragwortdeck {
+
+/// \brief Takes failing targets out of use for a while and brings them back
+/// slowly. Never ejects more than a set fraction; at least half remain.
+class OutlierEjector
+{
+public:
+  using Index = std::uint32_t;
+
+  OutlierEjector(const Clock& aClock, std::uint64_t aSeed);
+
+  /// Adds a target that has not been seen before; returns its index.
+  Index Add();
+  /// Targets that count for the fraction: those that the host list shows live.
+  void SetLiveCount(std::size_t aLive) { mLive = aLive; }
+  void OnSuccess(Index aTarget);
+  void OnFailure(Index aTarget);
+  bool IsEjected(Index aTarget) const { return mTargets[aTarget].mIsEjected; }
+  /// Part of its room that a target may use: below 1 after a return.
+  double Weight(Index aTarget) const;
+  /// Returns targets whose time is over.
+  void Tick();
+  std::size_t Ejected() const { return mReturns.size(); }
+
+private:
+  struct TargetState
+  {
+    std::uint32_t mFailures = 0;
+    std::uint32_t mEjections = 0;
+    bool mIsEjected = false;
+    bool mHasReturned = false;
+    MonotonicTime mReturned{};
+  };
+
+  bool MayEject() const;
+
+  const Clock& mClock;
+  RandomSource mRandom;
+  std::size_t mLive = 0;
+  std::vector<TargetState> mTargets;
+  std::set<std::pair<MonotonicTime, Index>> mReturns;
+};
+
+} // namespace ragwortdeck
--- /dev/null
+++ b/Source/Policy/SafetyMargin.h
@@ -0,0 +1,26 @@
+#pragma once
+
+#include "Core/SiteView.h"
+
+#include <cstdint>
+
+namespace ragwortdeck {
+
+/// \brief Part of an engine's memory that is kept free for growth beyond the
+/// estimates. Grows while the engine reports new preemptions.
+class SafetyMargin
+{
+public:
+  void OnReport(const LoadReport& aReport);
+  /// Fraction of the memory.
+  double Value() const { return mValue; }
+
+private:
+  static constexpr double kFloor = 0.05;
+
+  std::uint64_t mPreemptions = 0;
+  bool mHasReport = false;
+  double mValue = kFloor;
+};
+
+} // namespace ragwortdeck
