Controllers: Add membership, host directory and the spread of the table

Every host needs the operators' table and host marks within seconds, while calls on the key-value service must not grow with the fleet.

--- /dev/null
+++ b/Source/Controllers/HostDirectory.cxx
@@ -0,0 +1,196 @@
+#include "Controllers/HostDirectory.h"
+
+#include "Core/Log.h"
+
+namespace ragwortdeck {
+
+namespace {
+
+const Log sLog("hosts");
+HostRole
+RoleOf(const HostMark& aMark)
+{
+  if (aMark.mRole == "engine") {
+    return HostRole::kEngine;
+  }
+  return aMark.mRole == "service" ? HostRole::kService : HostRole::kEntry;
+}
+
+} // namespace
+
+HostDirectory::HostDirectory(Scheduler& aScheduler,
+                             HostId aSelf,
+                             std::function<void()> aOnChange)
+  : mScheduler(aScheduler)
+  , mSelf(std::move(aSelf))
+  , mOnChange(std::move(aOnChange))
+{
+}
+
+void
+HostDirectory::OnHostList(std::vector<DirectoryHost> aHosts)
+{
+  if (aHosts.empty() && !mList.empty()) {
+    sLog.Warning("an empty host list is ignored");
+    return;
+  }
+  mHasList = true;
+  mListTime = mScheduler.Now();
+  mList.clear();
+  for (auto& host : aHosts) {
+    auto id = host.mId;
+    mList.insert_or_assign(std::move(id), std::move(host));
+  }
+  MergeAll();
+}
+
+void
+HostDirectory::OnMarks(const HostMarks& aMarks)
+{
+  if (aMarks.mRevision <= mMarks.mRevision) {
+    return;
+  }
+  mMarks = aMarks;
+  MergeAll();
+}
+
+void
+HostDirectory::MergeAll()
+{
+  auto merged = mList;
+  for (const auto& [id, mark] : mMarks.mMarks) {
+    const auto it = merged.find(id);
+    if (mark.mKind == HostMarkKind::kLeaving) {
+      if (it != merged.end()) {
+        it->second.mLeaving = true;
+      }
+      continue;
+    }
+    if (it == merged.end() && !mark.mAddress.empty()) {
+      merged[id] = {
+        id,    RoleOf(mark), mark.mAddress,      mark.mFailureDomain,
+        false, mark.mModels, mark.mChecksFencing
+      };
+    }
+  }
+  if (merged == mMerged) {
+    return;
+  }
+  mMerged = std::move(merged);
+  std::erase_if(mLoads, [this](const auto& aLoad) {
+    return !mMerged.contains(aLoad.first.Value());
+  });
+  std::erase_if(mUnreachable, [this](const TargetId& aTarget) {
+    return !mMerged.contains(aTarget.Value());
+  });
+  mOnChange();
+}
+
+bool
+HostDirectory::IsLeaving(const std::string& aHost) const
+{
+  // The mark counts even for a host that no list has named yet.
+  const auto mark = mMarks.mMarks.find(aHost);
+  if (mark != mMarks.mMarks.end() &&
+      mark->second.mKind == HostMarkKind::kLeaving) {
+    return true;
+  }
+  const auto it = mMerged.find(aHost);
+  return it != mMerged.end() && it->second.mLeaving;
+}
+
+void
+HostDirectory::OnReachable(const TargetId& aTarget, bool aReachable)
+{
+  if (!mMerged.contains(aTarget.Value())) {
+    return;
+  }
+  const bool changed = aReachable ? mUnreachable.erase(aTarget) > 0
+                                  : mUnreachable.insert(aTarget).second;
+  if (changed) {
+    sLog.Info("target " + aTarget.Value() +
+              (aReachable ? " is reachable" : " is not reachable"));
+    mOnChange();
+  }
+}
+
+void
+HostDirectory::OnLoad(const TargetId& aTarget,
+                      const LoadReport& aLoad,
+                      Duration aAge)
+{
+  if (!mMerged.contains(aTarget.Value())) {
+    return;
+  }
+  const auto measured = mScheduler.Now() - aAge;
+  const auto it = mLoads.find(aTarget);
+  if (it != mLoads.end() && it->second.mMeasured >= measured) {
+    return;
+  }
+  mLoads[aTarget] = { aLoad, measured };
+  mOnChange();
+}
+
+std::map<TargetId, Target>
+HostDirectory::Targets() const
+{
+  std::map<TargetId, Target> targets;
+  const auto now = mScheduler.Now();
+  for (const auto& [id, host] : mMerged) {
+    if (host.mRole == HostRole::kEntry) {
+      continue;
+    }
+    Target target;
+    target.mId = TargetId(id);
+    target.mRole = host.mRole == HostRole::kEngine ? TargetRole::kEngine
+                                                   : TargetRole::kService;
+    target.mFailureDomain = host.mFailureDomain;
+    target.mAddress = host.mAddress;
+    target.mModels = host.mModels;
+    target.mChecksFencing = host.mChecksFencing;
+    if (host.mLeaving) {
+      target.mState = TargetState::kLeaving;
+    } else if (mUnreachable.contains(target.mId)) {
+      target.mState = TargetState::kDown;
+    }
+    const auto load = mLoads.find(target.mId);
+    if (load != mLoads.end()) {
+      target.mLoad = load->second.mReport;
+      target.mLoad.mAgeMicros = (now - load->second.mMeasured).count();
+    }
+    targets.emplace(target.mId, std::move(target));
+  }
+  return targets;
+}
+
+std::vector<HostId>
+HostDirectory::EntryHosts() const
+{
+  std::vector<HostId> hosts;
+  for (const auto& [id, host] : mMerged) {
+    if (host.mRole == HostRole::kEntry) {
+      hosts.emplace_back(id);
+    }
+  }
+  return hosts;
+}
+
+std::vector<std::string>
+HostDirectory::EntryAddresses() const
+{
+  std::vector<std::string> addresses;
+  for (const auto& [id, host] : mMerged) {
+    if (host.mRole == HostRole::kEntry) {
+      addresses.push_back(host.mAddress);
+    }
+  }
+  return addresses;
+}
+
+Duration
+HostDirectory::ListAge() const
+{
+  return mHasList ? mScheduler.Now() - mListTime : Duration(-1);
+}
+
+} // namespace ragwortdeck
--- a/Source/Peer/ControlMessages.h
+++ b/Source/Peer/ControlMessages.h
@@ -1,12 +1,29 @@
 #pragma once
 
 #include "Core/SiteView.h"
+#include "Policy/CreditMessages.h"
 
 #include <map>
 #include <string_view>
 
 namespace ragwortdeck {
 
+/// Types of CreditRequest and CreditGrant, on the link to the router and
+/// between hosts.
+inline constexpr std::string_view kCreditRequestType = "credit_request";
+inline constexpr std::string_view kCreditGrantType = "credit_grant";
+
+/// \brief Hosts that membership holds for alive: control to router. Credit
+/// owners are chosen among them.
+struct LiveHostsMessage
+{
+  static constexpr std::string_view kType = "live_hosts";
+  std::vector<HostId> mHosts;
+
+  bool operator==(const LiveHostsMessage&) const = default;
+  MSGPACK_DEFINE_MAP(mHosts)
+};
+
 /// \brief Snapshot for the request path: control to router.
 struct SiteViewMessage
 {
--- a/Source/Peer/PeerMessage.h
+++ b/Source/Peer/PeerMessage.h
@@ -40,11 +40,18 @@
   /// The header fields other than the type are set when it is sent.
   template<typename T>
   static PeerMessage Of(const T& aBody)
+  {
+    return Of(T::kType, aBody);
+  }
+
+  /// For body types of modules that do not know the wire's message types.
+  template<typename T>
+  static PeerMessage Of(std::string_view aType, const T& aBody)
   {
     msgpack::sbuffer buf;
     msgpack::pack(buf, aBody);
     PeerMessage message;
-    message.mType = std::string(T::kType);
+    message.mType = std::string(aType);
     message.mBody.assign(buf.data(), buf.data() + buf.size());
     return message;
   }
--- a/Source/Peer/PeerSession.h
+++ b/Source/Peer/PeerSession.h
@@ -33,7 +33,7 @@
     /// Takes bytes for the other side.
     std::function<void(const QByteArray&)> mWrite;
     /// Called once, before the first message; may be empty.
-    std::function<void()> mOnReady;
+    std::function<void()> mOnReady{};
     /// Takes each authenticated message after the handshake.
     std::function<void(const PeerMessage&)> mOnMessage;
   };
--- a/Source/Peer/RouterLink.cxx
+++ b/Source/Peer/RouterLink.cxx
@@ -78,13 +78,48 @@
       [this](const std::string& aReason) { Lose(aReason); } });
 }
 
+template<typename T, typename Hook>
+bool
+RouterLink::Pass(std::string_view aType,
+                 const PeerMessage& aMessage,
+                 const Hook& aHook)
+{
+  if (aMessage.mType != aType || !aHook) {
+    return false;
+  }
+  const auto body = aMessage.As<T>();
+  if (body) {
+    aHook(body.value());
+  } else {
+    sLog.Error(aMessage.mType + " ignored: " + body.error().mMessage);
+  }
+  return true;
+}
+
 void
 RouterLink::Take(const PeerMessage& aMessage)
 {
-  if (!aMessage.Is<SiteViewMessage>()) {
-    mHooks.mOnMessage(aMessage);
+  const auto onHosts = [this](const LiveHostsMessage& aHosts) {
+    if (mHooks.mOnLiveHosts) {
+      mHooks.mOnLiveHosts(aHosts.mHosts);
+    }
+  };
+  if (aMessage.Is<SiteViewMessage>()) {
+    TakeView(aMessage);
     return;
   }
+  if (!Pass<CreditGrant>(kCreditGrantType, aMessage, mHooks.mOnCredits) &&
+      !Pass<LiveHostsMessage>(
+        LiveHostsMessage::kType,
+        aMessage,
+        std::function<void(const LiveHostsMessage&)>(onHosts))) {
+    mHooks.mOnMessage(aMessage);
+  }
+}
+
+void
+RouterLink::TakeView(const PeerMessage& aMessage)
+{
   auto message = aMessage.As<SiteViewMessage>();
   if (!message) {
     sLog.Error("site view ignored: " + message.error().mMessage);
--- a/Source/Peer/RouterLink.h
+++ b/Source/Peer/RouterLink.h
@@ -28,11 +28,15 @@
   {
     /// Each new view, never null. Control sends the newest view on connect.
     std::function<void(std::shared_ptr<const SiteView>)> mOnView;
-    /// Each message of any other type, for example "credits"; decode it with
+    /// Each message that no other hook takes; decode it with
     /// aMessage.As<T>().
     std::function<void(const PeerMessage& aMessage)> mOnMessage;
     /// The link came up or went down; may be empty.
-    std::function<void(bool aConnected)> mOnConnected;
+    std::function<void(bool aConnected)> mOnConnected{};
+    /// Each credit grant for this host; may be empty.
+    std::function<void(const CreditGrant&)> mOnCredits{};
+    /// The live entry hosts, on connect and on each change; may be empty.
+    std::function<void(const std::vector<HostId>&)> mOnLiveHosts{};
   };
 
   RouterLink(Scheduler& aScheduler,
@@ -58,9 +62,24 @@
     return IsConnected() && mConnection->SendBody(aBody);
   }
 
+  /// Sends a request on to the owner that it names.
+  bool SendCreditRequest(const CreditRequest& aRequest)
+  {
+    return SendMessage(PeerMessage::Of(kCreditRequestType, aRequest));
+  }
+  bool SendMessage(const PeerMessage& aMessage)
+  {
+    return IsConnected() && mConnection->Send(aMessage);
+  }
+
 private:
+  template<typename T, typename Hook>
+  bool Pass(std::string_view aType,
+            const PeerMessage& aMessage,
+            const Hook& aHook);
   void Connect();
   void Take(const PeerMessage& aMessage);
+  void TakeView(const PeerMessage& aMessage);
   void Lose(const std::string& aReason);
 
   Scheduler& mScheduler;
--- a/Tests/Peer/RouterLinkTest.cxx
+++ b/Tests/Peer/RouterLinkTest.cxx
@@ -138,7 +138,9 @@
                     settings,
                     { [](const std::shared_ptr<const SiteView>&) {},
                       [](const PeerMessage&) {},
-                      [&](bool) { connected = true; } });
+                      [&](bool) { connected = true; },
+                      {},
+                      {} });
     link.Start();
     QElapsedTimer timer;
     timer.start();
