Filters: Rename the router's phase limits

Cause: Source/Policy and Source/Filters both defined PhaseLimits, so the merged tree did not compile. Ruled out: including the policy's type, because it holds other fields. Change: RequestPhaseLimits in Source/Filters.

--- a/Source/Filters/RouterSettings.cxx
+++ b/Source/Filters/RouterSettings.cxx
@@ -61,8 +61,8 @@
     Unsigned(aSection, "max_output_tokens", 32'768, 1, kMaxUint32);
   const auto repeat =
     aSection.Choice("repeat", { "idempotent", "at-most-once" }, "idempotent");
-  row.mRepeat = repeat == "idempotent" ? RepeatRule::kIdempotent
-                                       : RepeatRule::kAtMostOnce;
+  row.mRepeat =
+    repeat == "idempotent" ? RepeatRule::kIdempotent : RepeatRule::kAtMostOnce;
   row.mReservedPercent = Unsigned(aSection, "reserved_percent", 0, 0, 100);
   return row;
 }
@@ -127,8 +127,7 @@
     aSection.Integer("max_body_bytes", 1 << 20, 1, std::int64_t(1) << 30));
   connections.mMaxHeaderBytes =
     std::size_t(aSection.Integer("max_header_bytes", 16 << 10, 256, 1 << 20));
-  const auto total =
-    aSection.Integer("max_connections", 20'000, 1, 1'000'000);
+  const auto total = aSection.Integer("max_connections", 20'000, 1, 1'000'000);
   const auto threads = std::int64_t(aSettings.mThreads);
   connections.mMaxConnections = std::size_t((total + threads - 1) / threads);
   connections.mIdle = aSection.Milliseconds(
@@ -144,13 +143,13 @@
 }
 
 void
-ReadPhases(SettingsSection aSection, PhaseLimits& aPhases)
+ReadPhases(SettingsSection aSection, RequestPhaseLimits& aPhases)
 {
   const milliseconds least(1);
   aPhases.mConnect =
     aSection.Milliseconds("connect_ms", aPhases.mConnect, least, kHour);
-  aPhases.mFirstToken = aSection.Milliseconds(
-    "first_token_ms", aPhases.mFirstToken, least, kHour);
+  aPhases.mFirstToken =
+    aSection.Milliseconds("first_token_ms", aPhases.mFirstToken, least, kHour);
   aPhases.mFirstTokenPerWaiting =
     aSection.Milliseconds("first_token_per_waiting_ms",
                           aPhases.mFirstTokenPerWaiting,
@@ -170,7 +169,7 @@
 }
 
 void
-ReadRetries(SettingsSection aSection, PhaseLimits& aPhases)
+ReadRetries(SettingsSection aSection, RequestPhaseLimits& aPhases)
 {
   aPhases.mRelay.mMaxAttempts =
     Unsigned(aSection, "engine_attempts", 3, 1, 100);
@@ -178,8 +177,7 @@
     Unsigned(aSection, "resume_attempts", 4, 0, 100);
   aPhases.mRelay.mFirstResumeDelay = aSection.Milliseconds(
     "resume_delay_ms", milliseconds(20), milliseconds(1), kHour);
-  aPhases.mServiceAttempts =
-    Unsigned(aSection, "service_attempts", 3, 1, 100);
+  aPhases.mServiceAttempts = Unsigned(aSection, "service_attempts", 3, 1, 100);
   aPhases.mRetryShare = aSection.Number("retry_share", 0.1, 0, 1);
 }
 
