--- a/Source/Core/Settings.cxx
+++ b/Source/Core/Settings.cxx
@@ -335,11 +335,10 @@
 SettingsSection
 SettingsSection::Section(const std::string& aKey)
 {
-  auto node = Find(aKey);
-  if (!node.IsDefined()) {
-    node = YAML::Node();
-  }
-  return SettingsSection(node, mFile, PathOf(aKey), mErrors);
+  // A node that was not found must not be assigned to: yaml-cpp throws.
+  const auto node = Find(aKey);
+  return SettingsSection(
+    node.IsDefined() ? node : YAML::Node(), mFile, PathOf(aKey), mErrors);
 }
 
 std::vector<SettingsSection>
--- a/Tests/Core/SettingsTest.cxx
+++ b/Tests/Core/SettingsTest.cxx
@@ -13,6 +13,7 @@
   CPPUNIT_TEST(TestUnknownKeysAreErrors);
   CPPUNIT_TEST(TestBrokenYamlHasALine);
   CPPUNIT_TEST(TestEndpoints);
+  CPPUNIT_TEST(TestAbsentSections);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -56,6 +57,20 @@
     CPPUNIT_ASSERT(errors[0].mLine > 0);
   }
 
+  /// Guards against an exception for a section that the file leaves out.
+  void TestAbsentSections()
+  {
+    auto settings = Settings::FromText("a: 1\n", "a.yaml");
+    {
+      auto root = settings.Root();
+      root.Integer("a", 0, 0, 9);
+      CPPUNIT_ASSERT_EQUAL(std::int64_t(4),
+                           root.Section("b").Integer("c", 4, 0, 9));
+      CPPUNIT_ASSERT(root.Sections("d").empty());
+    }
+    CPPUNIT_ASSERT(settings.Errors().empty());
+  }
+
   void TestEndpoints()
   {
     auto settings = Settings::FromText(
--- /dev/null
+++ b/Utilities/Site/site_processes.py
@@ -0,0 +1,251 @@
+"""Starts and stops a site of ragwortdeck processes on loopback addresses."""
+
+import base64
+import hashlib
+import hmac
+import json
+import pathlib
+import signal
+import socket
+import subprocess
+import tempfile
+import time
+import urllib.error
+import urllib.request
+
+import yaml
+
+ROOT = pathlib.Path(__file__).resolve().parents[2]
+ROUTER_PORT = 18080
+CONTROL_PORT = 17400
+LINK_PORT = 17500
+ENGINE_PORT = 19000
+SERVICE_PORT = 19100
+KEY_VALUE = "127.0.4.1:12379"
+HOST_LIST = "127.0.4.2:18500"
+WEIGHTS = "127.0.4.3:18600"
+# Ends a hang; no verdict depends on it.
+START_TIMEOUT_S = 60
+STOP_TIMEOUT_S = 60
+KEY = {"id": "k1", "secret": "loopback-test-secret-1"}
+
+
+class SiteError(Exception):
+    """A failure to start, reach or stop the site, with text for a person."""
+
+
+def free_or_fail(address):
+    """Raises SiteError when another process listens on the address."""
+    host, port = address.rsplit(":", 1)
+    with socket.socket(socket.AF_INET, socket.SOCK_STREAM) as probe:
+        probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        try:
+            probe.bind((host, int(port)))
+        except OSError as error:
+            raise SiteError(f"{address}: {error.strerror}; end the process "
+                            "that uses it and try again") from error
+
+
+def http(method, url, body=None, headers=None, timeout=30):
+    """Returns (status, headers, text); raises SiteError without a reply."""
+    data = None if body is None else json.dumps(body).encode()
+    request = urllib.request.Request(url, data=data, method=method,
+                                     headers=headers or {})
+    if data is not None:
+        request.add_header("Content-Type", "application/json")
+    try:
+        with urllib.request.urlopen(request, timeout=timeout) as reply:
+            return reply.status, reply.headers, reply.read().decode()
+    except urllib.error.HTTPError as error:
+        return error.code, error.headers, error.read().decode()
+    except (OSError, urllib.error.URLError) as error:
+        raise SiteError(f"{method} {url}: {error}") from error
+
+
+def wait_for(what, condition, timeout=START_TIMEOUT_S, check=None):
+    """Polls until the condition returns a true value, and returns it."""
+    end = time.monotonic() + timeout
+    while time.monotonic() < end:
+        if check:
+            check()
+        try:
+            value = condition()
+        except SiteError:
+            value = None
+        if value:
+            return value
+        time.sleep(0.05)
+    raise SiteError(f"timed out: {what}")
+
+
+class Process:
+    """One process of the site, with its settings file and log."""
+
+    def __init__(self, site, name, binary, settings):
+        self.site, self.name, self.binary = site, name, binary
+        self.config = site.folder / f"{name}.yaml"
+        self.log = site.folder / f"{name}.log"
+        self.config.write_text(yaml.safe_dump(settings, sort_keys=False))
+        self.child = None
+
+    def start(self):
+        with open(self.log, "ab") as log:
+            self.child = subprocess.Popen(
+                [self.site.binary(self.binary), "--config", str(self.config)],
+                stdout=log, stderr=log, stdin=subprocess.DEVNULL)
+
+    def running(self):
+        return self.child is not None and self.child.poll() is None
+
+    def check(self):
+        if self.child is not None and self.child.poll() is not None:
+            tail = self.log.read_text().strip().splitlines()[-3:]
+            raise SiteError(f"{self.name} ended with code "
+                            f"{self.child.returncode}: " + " / ".join(tail))
+
+    def send(self, number):
+        if self.running():
+            self.child.send_signal(number)
+
+    def stop(self, number=signal.SIGTERM, timeout=STOP_TIMEOUT_S):
+        """Ends the process and returns its exit code."""
+        if not self.running():
+            return self.child.returncode if self.child else None
+        self.child.send_signal(number)
+        try:
+            return self.child.wait(timeout)
+        except subprocess.TimeoutExpired:
+            self.child.kill()
+            self.child.wait()
+            raise SiteError(f"{self.name} did not stop within {timeout} s")
+
+
+class Site:
+    """A small site: platform stand-ins, targets and entry hosts."""
+
+    def __init__(self, entry_hosts=3, engines=3, services=1,
+                 failure_domains=("nadia", "hooghly", "bardhaman"),
+                 engine=None, router=None, build="build"):
+        self.build = pathlib.Path(build)
+        self.folder = pathlib.Path(tempfile.mkdtemp(prefix="ragwort-site-"))
+        self.domains = list(failure_domains)
+        self.entry_hosts = [f"entry-{n + 1}" for n in range(entry_hosts)]
+        self.engines = [f"engine-{n + 1}" for n in range(engines)]
+        self.services = [f"service-{n + 1}" for n in range(services)]
+        self.engine_settings = engine or {}
+        self.router_settings = router or {}
+        self.processes = {}
+
+    def add_targets(self):
+        for name in self.engines:
+            self.add(name, "ragwort-standin-engine",
+                     {"listen": self.target_address(name),
+                      "models": ["drafts"], **self.engine_settings})
+        for name in self.services:
+            self.add(name, "ragwort-standin-service",
+                     {"listen": self.target_address(name)})
+
+    def add_routers(self):
+        for host in self.entry_hosts:
+            self.add(f"router-{host}", "ragwort-router",
+                     {"host": host, "listen": self.router_address(host),
+                      "keys": [KEY], "bootstrap_view": bootstrap_view(self),
+                      **self.router_settings})
+
+    def build_all(self):
+        self.add_targets()
+        self.add_routers()
+
+    def start(self):
+        """Starts all processes and waits until every router is ready."""
+        for process in self.processes.values():
+            process.start()
+        for host in self.entry_hosts:
+            url = f"http://{self.router_address(host)}/readyz"
+            wait_for(f"{host} to become ready", lambda u=url:
+                     http("GET", u)[0] == 200, check=self.check)
+
+    def check(self):
+        """Raises SiteError when a process has ended."""
+        for process in self.processes.values():
+            process.check()
+
+    def token(self, team):
+        """Bearer token of a team, as ragwort-ctl team-key issues it."""
+        mac = hmac.new(KEY["secret"].encode(), b"team\0" + team.encode(),
+                       hashlib.sha256).digest()
+        text = base64.urlsafe_b64encode(mac).rstrip(b"=").decode()
+        return f"{team}.{KEY['id']}.{text}"
+
+    def binary(self, name):
+        path = ROOT / self.build / "bin" / name
+        if not path.exists():
+            raise SiteError(f"{path} is missing; run Utilities/build first")
+        return str(path)
+
+    def domain(self, name):
+        return self.domains[(int(name.rsplit("-", 1)[1]) - 1)
+                            % len(self.domains)]
+
+    def router_address(self, host):
+        return f"127.0.1.{self.entry_hosts.index(host) + 1}:{ROUTER_PORT}"
+
+    def target_address(self, target):
+        if target in self.engines:
+            return f"127.0.2.{self.engines.index(target) + 1}:{ENGINE_PORT}"
+        return f"127.0.3.{self.services.index(target) + 1}:{SERVICE_PORT}"
+
+    def add(self, name, binary, settings):
+        listen = settings.get("listen")
+        if listen:
+            free_or_fail(listen)
+        self.processes[name] = Process(self, name, binary, settings)
+        return self.processes[name]
+
+    def ctl(self, *arguments, expect=(0,)):
+        """Runs ragwort-ctl and returns its standard output."""
+        run = subprocess.run(
+            [self.binary("ragwort-ctl"), "--config",
+             str(self.folder / "ctl.yaml"), *arguments],
+            capture_output=True, text=True, stdin=subprocess.DEVNULL,
+            timeout=START_TIMEOUT_S, check=False)
+        if run.returncode not in expect:
+            raise SiteError(f"ragwort-ctl {' '.join(arguments)}: exit code "
+                            f"{run.returncode}: {run.stderr.strip()}")
+        return run.stdout
+
+    def stop(self):
+        """Stops every process, entry hosts first; never raises."""
+        problems = []
+        for process in reversed(list(self.processes.values())):
+            try:
+                process.send(signal.SIGCONT)
+                process.stop()
+            except SiteError as error:
+                problems.append(str(error))
+        return problems
+
+
+def bootstrap_view(site):
+    """A view for routers that run without a control process."""
+    targets = []
+    for name in site.engines + site.services:
+        role = "engine" if name in site.engines else "service"
+        target = {"id": name, "role": role, "address":
+                  site.target_address(name),
+                  "failure_domain": site.domain(name)}
+        target["models"] = ["drafts" if role == "engine" else "orders"]
+        targets.append(target)
+    return {
+        "entry_hosts": site.entry_hosts,
+        "teams": [{"team": "nadia-bakers", "share": 100}],
+        "kinds": [
+            {"kind": "default"},
+            {"kind": "guide", "class": "long", "deadline_s": 900},
+            {"kind": "check", "class": "short", "deadline_s": 30},
+            {"kind": "flour-order", "repeat": "at-most-once"},
+            {"kind": "stock", "repeat": "idempotent"},
+        ],
+        "models": [{"model": "drafts", "replicas": len(site.engines)}],
+        "targets": targets,
+    }
