Filters: Run at-most-once calls through the action executor

Cause: the router refused every order, because its action hook was empty. Ruled out: an executor per router thread, because two threads of one host would then race for the same record and pay for it in key-value calls. Change: ActionGateway owns one executor and one key-value client on the main thread; dispatches run on the request's thread, and everything that refers to that thread is destroyed there. The hook's types are renamed, because Source/Controllers defines types with the same names.

--- a/Source/Filters/ActionHook.h
+++ b/Source/Filters/ActionHook.h
@@ -10,7 +10,7 @@
 namespace ragwortdeck {
 
 /// \brief A call to a service that must run at most once.
-struct ActionCall
+struct ServiceAction
 {
   RequestId mRequest;
   TeamName mTeam;
@@ -54,21 +54,21 @@
 };
 
 /// \brief How an action ended, as the caller is told.
-struct ActionResult
+struct ServiceActionResult
 {
   /// A status of 200 to 299 makes mBody the reply; others become an error.
   Verdict mVerdict;
   std::string mBody;
 
-  bool operator==(const ActionResult&) const = default;
+  bool operator==(const ServiceActionResult&) const = default;
 };
 
-using OnActionResult = std::function<void(const ActionResult&)>;
+using OnServiceActionResult = std::function<void(const ServiceActionResult&)>;
 
 /// Runs an action at most once and reports its result exactly once, from any
 /// thread. The transport's functions must be called on the thread on which
 /// the hook was called. The router refuses at-most-once calls without a hook.
-using ActionHook =
-  std::function<void(const ActionCall&, ActionTransport, OnActionResult)>;
+using ActionHook = std::function<
+  void(const ServiceAction&, ActionTransport, OnServiceActionResult)>;
 
 } // namespace ragwortdeck
--- a/Source/Filters/DispatcherHub.cxx
+++ b/Source/Filters/DispatcherHub.cxx
@@ -49,10 +49,10 @@
   Ticket ticket = 0;
   {
     const std::lock_guard lock(mMutex);
-    ticket = mDispatcher->Submit(
-      aTraits, [pending](const DispatchDecision& aDecision) {
-        Accept(pending, aDecision);
-      });
+    ticket = mDispatcher->Submit(aTraits,
+                                 [pending](const DispatchDecision& aDecision) {
+                                   Accept(pending, aDecision);
+                                 });
     pending->mIsSubmitting = false;
   }
   if (pending->mEarly) {
--- a/Source/Filters/RelaySession.cxx
+++ b/Source/Filters/RelaySession.cxx
@@ -205,7 +205,8 @@
 {
   kLog.Info(mContext.mId.Value() + ": attempt " +
             std::to_string(mRelay.Current().mNumber) + " on " +
-            mRelay.Current().mTarget.Value() + " failed before its first token");
+            mRelay.Current().mTarget.Value() +
+            " failed before its first token");
   FinishTicket(aOutcome);
   if (!mEnvironment.mShared.mRetries.TrySpend()) {
     return false;
@@ -267,8 +268,7 @@
     }
   } else {
     mEnvironment.mMetrics.OnToken(
-      now - mLastToken,
-      mEnvironment.mShared.mSettings.mPhases.mStallThreshold);
+      now - mLastToken, mEnvironment.mShared.mSettings.mPhases.mStallThreshold);
   }
   mLastToken = now;
   ++mTokens;
@@ -329,10 +329,8 @@
       break;
   }
   // The relay calls this as its last step, but its callers are still running.
-  mEnvironment.mScheduler.Post(Duration::zero(),
-                               [self = shared_from_this()] {
-                                 self->mOnOver(*self);
-                               });
+  mEnvironment.mScheduler.Post(
+    Duration::zero(), [self = shared_from_this()] { self->mOnOver(*self); });
 }
 
 void
--- a/Source/Filters/ServiceCaller.cxx
+++ b/Source/Filters/ServiceCaller.cxx
@@ -29,10 +29,10 @@
 Verdict
 NoTarget(const std::string& aService)
 {
-  auto verdict = Refusal(kStatusUnavailable,
-                         "no_target",
-                         "No target of service '" + aService +
-                           "' is available.");
+  auto verdict =
+    Refusal(kStatusUnavailable,
+            "no_target",
+            "No target of service '" + aService + "' is available.");
   verdict.mRetryAfter = kRetryAfter;
   return verdict;
 }
@@ -171,8 +171,8 @@
   if (phases.mHedge.count() == 0) {
     return;
   }
-  mHedge = mEnvironment.mScheduler.After(
-    phases.mHedge, [weak = weak_from_this()] {
+  mHedge =
+    mEnvironment.mScheduler.After(phases.mHedge, [weak = weak_from_this()] {
       const auto self = weak.lock();
       if (self && !self->mIsDone &&
           self->mEnvironment.mShared.mRetries.TrySpend()) {
@@ -198,16 +198,15 @@
     // Abandons a slower hedged call.
     mCalls.clear();
     mEnvironment.mMetrics.OnEnded("completed");
-    mContext.mExchange->Reply(
-      aEnd.mStatus,
-      "application/json",
-      reply,
-      { { "X-Ragwort-Verdict", ToText(RunState::kRan) },
-        { "X-Request-Id", mContext.mId.Value() } });
+    mContext.mExchange->Reply(aEnd.mStatus,
+                              "application/json",
+                              reply,
+                              { { "X-Ragwort-Verdict", ToText(RunState::kRan) },
+                                { "X-Request-Id", mContext.mId.Value() } });
     return;
   }
-  mMayHaveRun = mMayHaveRun || ToReplyKind(aEnd.mKind) !=
-                                 ServiceReplyKind::kNotSent;
+  mMayHaveRun =
+    mMayHaveRun || ToReplyKind(aEnd.mKind) != ServiceReplyKind::kNotSent;
   mCalls.erase(aCall);
   if (!mCalls.empty()) {
     return;
@@ -231,13 +230,11 @@
 ServiceCaller::StartAction()
 {
   const auto& request = mContext.mRequest;
-  const ActionCall call{ mContext.mId,
-                         mContext.mTeam,
-                         mContext.mService,
-                         mContext.mOperation,
-                         request.mIdempotencyKey,
-                         request.mBody,
-                         mContext.mDeadline };
+  const ServiceAction call{
+    mContext.mId,        mContext.mTeam,          mContext.mService,
+    mContext.mOperation, request.mIdempotencyKey, request.mBody,
+    mContext.mDeadline
+  };
   const auto self = shared_from_this();
   ActionTransport transport;
   transport.mDispatch = [self](OnServiceReply aOnReply) {
@@ -248,7 +245,9 @@
   };
   auto* context = &mEnvironment.mThreadContext;
   mEnvironment.mShared.mActionHook(
-    call, std::move(transport), [self, context](const ActionResult& aResult) {
+    call,
+    std::move(transport),
+    [self, context](const ServiceActionResult& aResult) {
       QMetaObject::invokeMethod(
         context,
         [self, aResult] { self->FinishAction(aResult); },
@@ -282,7 +281,7 @@
 }
 
 void
-ServiceCaller::FinishAction(const ActionResult& aResult)
+ServiceCaller::FinishAction(const ServiceActionResult& aResult)
 {
   if (std::exchange(mIsDone, true)) {
     return;
--- a/Source/Filters/ServiceCaller.h
+++ b/Source/Filters/ServiceCaller.h
@@ -41,7 +41,7 @@
                    const TransferEnd& aEnd);
   void ArmHedge();
   void SendOnce(bool aIsQuery, OnServiceReply aOnReply);
-  void FinishAction(const ActionResult& aResult);
+  void FinishAction(const ServiceActionResult& aResult);
   void Refuse(Verdict aVerdict);
   bool IsPost() const { return mContext.mRequest.mIsPost; }
 
--- a/Source/Programs/Router.cxx
+++ b/Source/Programs/Router.cxx
@@ -2,11 +2,14 @@
 
 #include "Core/Log.h"
 #include "Core/Program.h"
+#include "Filters/ActionGateway.h"
 #include "Filters/DispatcherFactory.h"
 
 #include <QCoreApplication>
 #include <QSocketNotifier>
 #include <csignal>
+#include <memory>
+#include <optional>
 #include <sys/signalfd.h>
 #include <unistd.h>
 
@@ -37,15 +40,24 @@
 }
 
 int
-Serve(int& argc, char** argv, const RouterSettings& aSettings)
+Serve(int& argc,
+      char** argv,
+      const RouterSettings& aSettings,
+      const std::optional<KeyValueSettings>& aKeyValue)
 {
   // A caller or target that has gone shows as a write error.
   std::signal(SIGPIPE, SIG_IGN);
   const int signals = OpenSignals();
   QCoreApplication app(argc, argv);
   const RcuReaderThread reader;
-  auto router =
-    Router::Start(aSettings, MakeDispatcher(aSettings.mDispatcher), nullptr);
+  std::unique_ptr<ActionGateway> actions;
+  if (aKeyValue) {
+    actions = std::make_unique<ActionGateway>(
+      aSettings.mHost, *aKeyValue, ActionSettings{});
+  }
+  auto router = Router::Start(aSettings,
+                              MakeDispatcher(aSettings.mDispatcher),
+                              actions ? actions->Hook() : ActionHook());
   if (!router) {
     kLog.Error(router.error().mMessage);
     return ToExitCode(router.error());
@@ -58,6 +70,9 @@
     }
   });
   const int code = QCoreApplication::exec();
+  if (actions) {
+    actions->DropRoutes();
+  }
   router.value().reset();
   close(signals);
   return code;
@@ -76,7 +91,13 @@
     if (!MakeDispatcher(settings.mDispatcher)) {
       aRoot.Reject("dispatcher", "expected one of " + DispatcherNames());
     }
-    return [&argc, argv, settings] { return Serve(argc, argv, settings); };
+    std::optional<KeyValueSettings> keyValue;
+    if (aRoot.Has("key_value")) {
+      keyValue = KeyValueSettings::Read(aRoot.Section("key_value"));
+    }
+    return [&argc, argv, settings, keyValue] {
+      return Serve(argc, argv, settings, keyValue);
+    };
   };
   return RunProgram(argc, argv, spec);
 }
--- a/Utilities/Site/site_processes.py
+++ b/Utilities/Site/site_processes.py
@@ -145,14 +145,19 @@
             self.add(name, "ragwort-standin-service",
                      {"listen": self.target_address(name)})
 
+    def add_platform(self):
+        self.add("key-value", "ragwort-standin-kv", {"listen": KEY_VALUE})
+
     def add_routers(self):
         for host in self.entry_hosts:
             self.add(f"router-{host}", "ragwort-router",
                      {"host": host, "listen": self.router_address(host),
                       "keys": [KEY], "bootstrap_view": bootstrap_view(self),
+                      "key_value": {"endpoints": [KEY_VALUE]},
                       **self.router_settings})
 
     def build_all(self):
+        self.add_platform()
         self.add_targets()
         self.add_routers()
 
