Control: Add ragwort-control

The control core needs its sockets and clients: PeerNetwork opens connections when a message needs one and closes unused ones, RouterLinkServer feeds the router, TargetPoller reads load reports, CreditRouting carries credit requests to their owners.

Host marks use the member 'mark' that the table editor writes.

--- /dev/null
+++ b/Source/Control/ControlProcess.cxx
@@ -0,0 +1,225 @@
+#include "Control/ControlProcess.h"
+
+#include "Core/Log.h"
+
+namespace ragwortdeck {
+
+namespace {
+
+const Log sLog("control");
+
+HostRole
+RoleOf(ListedRole aRole)
+{
+  switch (aRole) {
+    case ListedRole::kEntry:
+      return HostRole::kEntry;
+    case ListedRole::kEngine:
+      return HostRole::kEngine;
+    case ListedRole::kService:
+      return HostRole::kService;
+  }
+  return HostRole::kEntry;
+}
+
+std::uint64_t
+StartMillis(const Scheduler& aScheduler)
+{
+  const auto since = aScheduler.WallNow().time_since_epoch();
+  return std::uint64_t(
+    std::chrono::duration_cast<std::chrono::milliseconds>(since).count());
+}
+
+} // namespace
+
+ControlProcess::ControlProcess(Scheduler& aScheduler, ControlSettings aSettings)
+  : mScheduler(aScheduler)
+  , mSettings(std::move(aSettings))
+  , mRandom(RandomSource::SystemSeed())
+  , mIdentity{ mSettings.mCore.mHost,
+               StartMillis(aScheduler),
+               std::make_shared<const KeyRing>(
+                 KeyRing::Create(mSettings.mKeys).value()),
+               {},
+               {} }
+  , mStore(aScheduler, mSettings.mKeyValue)
+  , mPoller(mSettings.mLoadTimeout)
+  , mLiveHosts{ mSettings.mCore.mHost }
+{
+}
+
+Result<std::unique_ptr<ControlProcess>>
+ControlProcess::Create(Scheduler& aScheduler, ControlSettings aSettings)
+{
+  std::unique_ptr<ControlProcess> process(
+    new ControlProcess(aScheduler, std::move(aSettings)));
+  const auto listening = process->Listen();
+  if (!listening) {
+    return Failure(listening.error());
+  }
+  process->StartCore();
+  return process;
+}
+
+Result<void>
+ControlProcess::Listen()
+{
+  auto network = PeerNetwork::Listen(
+    mScheduler,
+    mIdentity,
+    mSettings.mPeerListen,
+    { [this](const PeerMessage& aMessage) { TakePeerMessage(aMessage); },
+      [](const HostId&) {} });
+  if (!network) {
+    return Failure(network.error());
+  }
+  mNetwork = std::move(network.value());
+  auto link = RouterLinkServer::Listen(
+    mScheduler,
+    mIdentity,
+    mSettings.mRouterListen,
+    { [](const UsageMessage&) {},
+      [this](PeerConnection&, const PeerMessage& aMessage) {
+        if (!mCredits->OnRouterMessage(aMessage)) {
+          sLog.Warning("message " + aMessage.mType + " of the router ignored");
+        }
+      },
+      [this] {
+        mRouterLink->Send(PeerMessage::Of(LiveHostsMessage{ mLiveHosts }));
+      } });
+  if (!link) {
+    return Failure(link.error());
+  }
+  mRouterLink = std::move(link.value());
+  return Success();
+}
+
+void
+ControlProcess::StartCore()
+{
+  // With port 0 in the settings, peers must get the port in use.
+  auto core = mSettings.mCore;
+  if (mSettings.mPeerListen.mPort == 0) {
+    core.mAddress =
+      ToText(Endpoint{ mSettings.mPeerListen.mAddress, mNetwork->Port() });
+  }
+  mCredits = std::make_unique<CreditRouting>(
+    mScheduler,
+    core.mHost,
+    CreditRouting::Hooks{
+      [this](const HostId& aTo, const PeerMessage& aMessage) {
+        mCore->SendTo(aTo, aMessage);
+      },
+      [this](const PeerMessage& aMessage) { mRouterLink->Send(aMessage); } });
+  mCore = std::make_unique<ControlCore>(
+    mScheduler,
+    mRandom.Split(),
+    core,
+    mIdentity.mIncarnation,
+    mStore,
+    ControlCore::Hooks{
+      [this](const HostId& aTo,
+             const std::string& aAddress,
+             const PeerMessage& aMessage) {
+        mNetwork->Send(aTo, aAddress, aMessage);
+      },
+      [this](const SiteView& aView) { Publish(aView); },
+      [this](const std::vector<HostId>& aHosts) {
+        mLiveHosts = aHosts;
+        mCredits->OnLiveHosts(aHosts);
+        mRouterLink->Send(PeerMessage::Of(LiveHostsMessage{ aHosts }));
+      },
+      [this](const Target& aTarget, LoadSharing::ReportCallback aCallback) {
+        mPoller.Poll(aTarget, std::move(aCallback));
+      },
+      [this](const PeerMessage& aMessage) { TakeOther(aMessage); } });
+  mCore->Start();
+  if (mSettings.mHostList) {
+    mHostList = std::make_unique<HostListClient>(
+      mScheduler,
+      mRandom.Split(),
+      *mSettings.mHostList,
+      [this](const HostList& aList) { TakeHostList(aList); });
+  }
+  sLog.Info("host " + core.mHost.Value() + " listens for peers on " +
+            core.mAddress + " and for its router on port " +
+            std::to_string(mRouterLink->Port()));
+}
+
+void
+ControlProcess::TakePeerMessage(const PeerMessage& aMessage)
+{
+  if (mCore && !mStopping) {
+    mCore->OnMessage(aMessage);
+  }
+}
+
+void
+ControlProcess::TakeOther(const PeerMessage& aMessage)
+{
+  if (mCredits->OnPeerMessage(aMessage)) {
+    return;
+  }
+  if (aMessage.Is<StatusFetchMessage>()) {
+    mNetwork->Send(aMessage.mFrom, {}, PeerMessage::Of(Status()));
+    return;
+  }
+  sLog.Warning("message " + aMessage.mType + " of " + aMessage.mFrom.Value() +
+               " ignored: unknown type");
+}
+
+StatusMessage
+ControlProcess::Status() const
+{
+  auto status = mCore->Status();
+  status.mRouterConnected = mRouterLink->RouterCount() > 0;
+  const auto age = mHostList ? mHostList->Age() : std::nullopt;
+  status.mHostListAgeMillis = age ? age->count() / 1000 : -1;
+  return status;
+}
+
+void
+ControlProcess::TakeHostList(const HostList& aList)
+{
+  std::vector<DirectoryHost> hosts;
+  std::vector<std::string> peers;
+  for (const auto& host : aList.mHosts) {
+    hosts.push_back({ host.mId,
+                      RoleOf(host.mRole),
+                      host.mAddress,
+                      host.mFailureDomain,
+                      host.mLeaving,
+                      {},
+                      host.mChecksFencing });
+    if (host.mRole == ListedRole::kEntry && mSettings.mListedPeerPort != 0) {
+      const auto colon = host.mAddress.rfind(':');
+      peers.push_back(host.mAddress.substr(0, colon + 1) +
+                      std::to_string(mSettings.mListedPeerPort));
+    }
+  }
+  mCore->OnHostList(std::move(hosts));
+  mCore->SetListedPeers(std::move(peers));
+}
+
+void
+ControlProcess::Publish(const SiteView& aView)
+{
+  mCredits->OnView(aView);
+  mRouterLink->Publish(aView);
+}
+
+void
+ControlProcess::Stop(const std::function<void()>& aDone)
+{
+  if (mStopping) {
+    return;
+  }
+  sLog.Info("graceful stop");
+  mCore->Leave();
+  mStopping = true;
+  mRouterLink->Drain(mSettings.mDrainLimit, [this, aDone] {
+    mNetwork->Drain(mSettings.mDrainLimit, aDone);
+  });
+}
+
+} // namespace ragwortdeck
--- /dev/null
+++ b/Source/Control/TargetPoller.h
@@ -0,0 +1,28 @@
+#pragma once
+
+#include "Control/LoadSharing.h"
+
+#include <QNetworkAccessManager>
+
+namespace ragwortdeck {
+
+/// Parses an ORCA load report in JSON. Memory and batch come from
+/// named_metrics; fails with kCorrupt when it is not a report.
+Result<LoadReport>
+ParseLoadReport(const QByteArray& aJson);
+
+/// \brief Reads load reports of targets over HTTP.
+class TargetPoller
+{
+public:
+  explicit TargetPoller(std::chrono::milliseconds aTimeout);
+
+  /// GET http://<target>/load; calls back once, within the timeout.
+  void Poll(const Target& aTarget, LoadSharing::ReportCallback aCallback);
+
+private:
+  std::chrono::milliseconds mTimeout;
+  QNetworkAccessManager mManager;
+};
+
+} // namespace ragwortdeck
--- a/Source/Controllers/HostDirectory.cxx
+++ b/Source/Controllers/HostDirectory.cxx
@@ -8,7 +8,7 @@
 
 const Log sLog("hosts");
 HostRole
-RoleOf(const HostMark& aMark)
+RoleOf(const MarkedHost& aMark)
 {
   if (aMark.mRole == "engine") {
     return HostRole::kEngine;
@@ -60,13 +60,17 @@
   auto merged = mList;
   for (const auto& [id, mark] : mMarks.mMarks) {
     const auto it = merged.find(id);
-    if (mark.mKind == HostMarkKind::kLeaving) {
+    if (mark.mKind == MarkKind::kLeaving) {
       if (it != merged.end()) {
         it->second.mLeaving = true;
       }
       continue;
     }
-    if (it == merged.end() && !mark.mAddress.empty()) {
+    // A target is of no use without its address; an entry host counts even
+    // before the list names one.
+    const bool usable =
+      RoleOf(mark) == HostRole::kEntry || !mark.mAddress.empty();
+    if (it == merged.end() && usable) {
       merged[id] = {
         id,    RoleOf(mark), mark.mAddress,      mark.mFailureDomain,
         false, mark.mModels, mark.mChecksFencing
@@ -92,7 +96,7 @@
   // The mark counts even for a host that no list has named yet.
   const auto mark = mMarks.mMarks.find(aHost);
   if (mark != mMarks.mMarks.end() &&
-      mark->second.mKind == HostMarkKind::kLeaving) {
+      mark->second.mKind == MarkKind::kLeaving) {
     return true;
   }
   const auto it = mMerged.find(aHost);
--- a/Source/Controllers/TableMessages.h
+++ b/Source/Controllers/TableMessages.h
@@ -61,16 +61,16 @@
   MSGPACK_DEFINE_MAP(mTable)
 };
 
-enum class HostMarkKind : std::uint8_t
+enum class MarkKind : std::uint8_t
 {
   kLeaving,
   kJoining,
 };
 
 /// \brief An operator's mark on an entry host or target.
-struct HostMark
+struct MarkedHost
 {
-  HostMarkKind mKind = HostMarkKind::kLeaving;
+  MarkKind mKind = MarkKind::kLeaving;
   /// For joining marks, as the host list would give them; may be empty.
   std::string mRole;
   std::string mAddress;
@@ -78,7 +78,7 @@
   std::vector<ModelName> mModels;
   bool mChecksFencing = false;
 
-  bool operator==(const HostMark&) const = default;
+  bool operator==(const MarkedHost&) const = default;
   MSGPACK_DEFINE_MAP(mKind,
                      mRole,
                      mAddress,
@@ -91,7 +91,7 @@
 struct HostMarks
 {
   std::int64_t mRevision = 0;
-  std::map<std::string, HostMark> mMarks;
+  std::map<std::string, MarkedHost> mMarks;
 
   bool operator==(const HostMarks&) const = default;
   MSGPACK_DEFINE_MAP(mRevision, mMarks)
@@ -113,4 +113,4 @@
 
 } // namespace ragwortdeck
 
-MSGPACK_ADD_ENUM(ragwortdeck::HostMarkKind)
+MSGPACK_ADD_ENUM(ragwortdeck::MarkKind)
--- a/Source/Controllers/TableWatcher.cxx
+++ b/Source/Controllers/TableWatcher.cxx
@@ -33,7 +33,7 @@
   return settings;
 }
 
-std::optional<HostMark>
+std::optional<MarkedHost>
 ParseMark(const std::string& aJson)
 {
   const auto object =
@@ -41,11 +41,11 @@
   const auto text = [&](const char* aName) {
     return object.value(QLatin1String(aName)).toString().toStdString();
   };
-  HostMark mark;
-  const auto state = text("state");
-  if (state == "joining") {
-    mark.mKind = HostMarkKind::kJoining;
-  } else if (state != "leaving") {
+  MarkedHost mark;
+  const auto kind = text("mark");
+  if (kind == "joining") {
+    mark.mKind = MarkKind::kJoining;
+  } else if (kind != "leaving") {
     return std::nullopt;
   }
   mark.mRole = text("role");
@@ -148,10 +148,10 @@
   return false;
 }
 
-std::map<std::string, HostMark>
+std::map<std::string, MarkedHost>
 TableWatcher::ParseMarks(const std::vector<KeyValue>& aKeys)
 {
-  std::map<std::string, HostMark> marks;
+  std::map<std::string, MarkedHost> marks;
   for (const auto& key : aKeys) {
     const auto mark = ParseMark(key.mValue);
     if (!mark) {
--- a/Source/Controllers/TableWatcher.h
+++ b/Source/Controllers/TableWatcher.h
@@ -33,7 +33,7 @@
 
   /// The marks of a range over TableKeys::kHostPrefix; entries that are no
   /// valid marks are logged and left out.
-  static std::map<std::string, HostMark> ParseMarks(
+  static std::map<std::string, MarkedHost> ParseMarks(
     const std::vector<KeyValue>& aKeys);
 
 private:
--- a/Source/Peer/PeerConnection.cxx
+++ b/Source/Peer/PeerConnection.cxx
@@ -115,6 +115,8 @@
   while (!mClosed && mSocket->bytesAvailable() > 0) {
     const auto bytes = mSocket->read(kReadChunk);
     mLastReceived = mScheduler.Now();
+    mUnansweredSince.reset();
+    mAsked = false;
     const auto taken =
       mSession.Receive(bytes.constData(), std::size_t(bytes.size()));
     if (!taken) {
@@ -142,6 +144,9 @@
   }
   mLastSent = mScheduler.Now();
   mLastUse = mLastSent;
+  if (!mUnansweredSince) {
+    mUnansweredSince = mLastSent;
+  }
   return true;
 }
 
@@ -170,6 +175,23 @@
   mHooks.mOnClosed(aReason);
 }
 
+bool
+PeerConnection::CheckAnswer(MonotonicTime aNow)
+{
+  if (mLimits.mAnswer <= Duration::zero() || !mUnansweredSince) {
+    return true;
+  }
+  const auto waited = aNow - *mUnansweredSince;
+  if (waited > mLimits.mAnswer) {
+    Close("no answer");
+    return false;
+  }
+  if (waited > mLimits.mAnswer / 2 && !mAsked) {
+    mAsked = SendBody(HeartbeatMessage{ true });
+  }
+  return true;
+}
+
 void
 PeerConnection::CheckTimes()
 {
@@ -183,6 +205,9 @@
     Close("silent for too long");
     return;
   }
+  if (!CheckAnswer(now)) {
+    return;
+  }
   if (Backlog() > mLimits.mMaxBacklog) {
     Close("the peer does not read");
     return;
--- a/Source/Peer/PeerConnection.h
+++ b/Source/Peer/PeerConnection.h
@@ -18,6 +18,11 @@
   /// The connection is closed after this time without a received byte; zero:
   /// never.
   Duration mSilence{};
+  /// A message after which nothing arrives for half of this time is followed
+  /// by a request for a heartbeat, and the connection is closed when nothing
+  /// arrives for all of it: a stalled link shows no error for many minutes.
+  /// Zero: never.
+  Duration mAnswer{};
   /// Bytes waiting to be sent after which the peer counts as stalled.
   std::int64_t mMaxBacklog = std::int64_t(16) * 1024 * 1024;
 };
@@ -77,6 +82,7 @@
   void Read();
   void Close(const std::string& aReason);
   void CheckTimes();
+  bool CheckAnswer(MonotonicTime aNow);
 
   Scheduler& mScheduler;
   PeerConnectionLimits mLimits;
@@ -88,6 +94,9 @@
   MonotonicTime mLastUse;
   MonotonicTime mLastReceived;
   MonotonicTime mLastSent;
+  /// Time of the first message since the last received byte.
+  std::optional<MonotonicTime> mUnansweredSince;
+  bool mAsked = false;
   TimerHandle mTimer;
 };
 
--- a/Source/Peer/PeerMessage.h
+++ b/Source/Peer/PeerMessage.h
@@ -108,10 +108,11 @@
 struct HeartbeatMessage
 {
   static constexpr std::string_view kType = "heartbeat";
-  bool mReady = true;
+  /// The receiver is to answer with a heartbeat.
+  bool mAsk = false;
 
   bool operator==(const HeartbeatMessage&) const = default;
-  MSGPACK_DEFINE_MAP(mReady)
+  MSGPACK_DEFINE_MAP(mAsk)
 };
 
 } // namespace ragwortdeck
--- a/Source/Peer/PeerSession.cxx
+++ b/Source/Peer/PeerSession.cxx
@@ -232,8 +232,14 @@
   }
   if (!message.value().Is<HeartbeatMessage>()) {
     mHooks.mOnMessage(message.value());
+    return Success();
   }
-  return Success();
+  const auto heartbeat = message.value().As<HeartbeatMessage>();
+  if (!heartbeat) {
+    return Failure(heartbeat.error());
+  }
+  return heartbeat.value().mAsk ? Send(PeerMessage::Of(HeartbeatMessage{}))
+                                : Success();
 }
 
 } // namespace ragwortdeck
--- a/Tests/Controllers/TableReplicaTest.cxx
+++ b/Tests/Controllers/TableReplicaTest.cxx
@@ -124,7 +124,7 @@
     });
     HostMarks marks{ 5, {} };
     Section("a leaving mark overrides the list and probes", [&] {
-      marks.mMarks["engine-1"].mKind = HostMarkKind::kLeaving;
+      marks.mMarks["engine-1"].mKind = MarkKind::kLeaving;
       directory.OnMarks(marks);
       directory.OnReachable(TargetId("engine-1"), false);
       CPPUNIT_ASSERT(stateOf("engine-1") == TargetState::kLeaving);
@@ -136,7 +136,7 @@
     });
     Section("leaving in the list overrides a joining mark", [&] {
       marks.mRevision = 6;
-      marks.mMarks["engine-1"].mKind = HostMarkKind::kJoining;
+      marks.mMarks["engine-1"].mKind = MarkKind::kJoining;
       directory.OnMarks(marks);
       CPPUNIT_ASSERT(stateOf("engine-1") == TargetState::kLive);
       engine.mLeaving = true;
@@ -146,7 +146,7 @@
     Section("a joining mark admits a host that is not listed", [&] {
       marks.mRevision = 7;
       marks.mMarks["engine-2"] = {
-        HostMarkKind::kJoining, "engine", "e:2", {}, {}, false
+        MarkKind::kJoining, "engine", "e:2", {}, {}, false
       };
       directory.OnMarks(marks);
       CPPUNIT_ASSERT(stateOf("engine-2") == TargetState::kLive);
