--- a/Source/Filters/RouterSettings.cxx
+++ b/Source/Filters/RouterSettings.cxx
@@ -23,6 +23,19 @@
   return std::uint32_t(aSection.Integer(aKey, aFallback, aMin, aMax));
 }
 
+/// A nested mapping that may be absent.
+SettingsSection
+OptionalSection(SettingsSection& aSection, const std::string& aKey)
+{
+  if (aSection.Has(aKey)) {
+    return aSection.Section(aKey);
+  }
+  return SettingsSection(YAML::Node(YAML::NodeType::Map),
+                         {},
+                         {},
+                         std::make_shared<std::vector<SettingsError>>());
+}
+
 template<typename Name>
 std::vector<Name>
 Names(SettingsSection& aSection, const std::string& aKey)
@@ -144,7 +157,7 @@
 }
 
 void
-ReadPhases(SettingsSection aSection, PhaseLimits& aPhases)
+ReadPhases(SettingsSection aSection, RequestLimits& aPhases)
 {
   const milliseconds least(1);
   aPhases.mConnect =
@@ -170,7 +183,7 @@
 }
 
 void
-ReadRetries(SettingsSection aSection, PhaseLimits& aPhases)
+ReadRetries(SettingsSection aSection, RequestLimits& aPhases)
 {
   aPhases.mRelay.mMaxAttempts =
     Unsigned(aSection, "engine_attempts", 3, 1, 100);
@@ -223,18 +236,18 @@
   settings.mKeys = ReadKeys(aRoot);
   settings.mDispatcher = aRoot.String("dispatcher", "");
   {
-    auto tls = aRoot.Section("tls");
+    auto tls = OptionalSection(aRoot, "tls");
     settings.mTlsCertificate = tls.String("certificate", "");
     settings.mTlsKey = tls.String("key", "");
     if (settings.mTlsCertificate.empty() != settings.mTlsKey.empty()) {
       tls.Reject("key", "expected both 'certificate' and 'key', or neither");
     }
   }
-  ReadLimits(aRoot.Section("limits"), settings);
-  ReadPhases(aRoot.Section("timeouts"), settings.mPhases);
-  ReadRetries(aRoot.Section("retries"), settings.mPhases);
+  ReadLimits(OptionalSection(aRoot, "limits"), settings);
+  ReadPhases(OptionalSection(aRoot, "timeouts"), settings.mPhases);
+  ReadRetries(OptionalSection(aRoot, "retries"), settings.mPhases);
   {
-    auto shutdown = aRoot.Section("shutdown");
+    auto shutdown = OptionalSection(aRoot, "shutdown");
     settings.mShutdownGrace = shutdown.Milliseconds(
       "grace_ms", settings.mShutdownGrace, milliseconds(0), kHour);
     settings.mShutdownDeadline = shutdown.Milliseconds(
--- a/Source/Filters/RouterSettings.h
+++ b/Source/Filters/RouterSettings.h
@@ -17,7 +17,7 @@
 namespace ragwortdeck {
 
 /// \brief Timeouts of the phases of a request, and retry limits.
-struct PhaseLimits
+struct RequestLimits
 {
   std::chrono::milliseconds mConnect{ 1000 };
   /// Limit for the first token on an engine with an empty queue.
@@ -47,7 +47,7 @@
   std::vector<SharedKey> mKeys;
   ConnectionLimits mConnections;
   CallerBufferLimits mBuffers;
-  PhaseLimits mPhases;
+  RequestLimits mPhases;
   std::string mDispatcher;
   std::string mTlsCertificate;
   std::string mTlsKey;
--- a/Source/Programs/Load.cxx
+++ b/Source/Programs/Load.cxx
@@ -28,12 +28,16 @@
 {
   const auto token = aRoot.String("token", "");
   const auto team = aRoot.String("team", "");
-  auto section = aRoot.Section("key");
-  const auto id = section.String("id", "");
-  const auto secret = section.String("secret", "");
   if (!token.empty() || team.empty()) {
     return token;
   }
+  if (!aRoot.Has("key")) {
+    aRoot.Reject("key", "expected 'id' and 'secret' to issue a token");
+    return {};
+  }
+  auto section = aRoot.Section("key");
+  const auto id = section.RequiredString("id");
+  const auto secret = section.RequiredString("secret");
   const auto ring = KeyRing::Create({ { id, secret } });
   if (!ring) {
     aRoot.Reject("key",
--- a/Tests/Programs/StandInEngine.cxx
+++ b/Tests/Programs/StandInEngine.cxx
@@ -124,7 +124,9 @@
   spec.mLoad = [&](SettingsSection& aRoot) -> ProgramSpec::Run {
     const auto listen = aRoot.RequiredEndpoint("listen");
     const auto options = ReadOptions(aRoot);
-    const auto rates = ReadFaults(aRoot.Section("faults"));
+    const auto rates = aRoot.Has("faults")
+                         ? ReadFaults(aRoot.Section("faults"))
+                         : FaultRates();
     return [&argc, argv, listen, options, rates] {
       return Serve(argc, argv, listen, options, rates);
     };
