--- a/Source/Filters/CallerExchange.cxx
+++ b/Source/Filters/CallerExchange.cxx
@@ -21,9 +21,8 @@
   , mLimits(aLimits)
   , mCloses(aGate && aGate->ClosesAfterReply())
 {
-  connect(&aSocket, &QTcpSocket::disconnected, this, [this] {
-    OnDisconnected();
-  });
+  connect(
+    &aSocket, &QTcpSocket::disconnected, this, [this] { OnDisconnected(); });
 }
 
 CallerExchange::~CallerExchange() = default;
@@ -132,7 +131,8 @@
 void
 CallerExchange::CheckBuffer()
 {
-  if (mSlowTimer || !IsOpen() || mSocket->bytesToWrite() <= mLimits.mHighBytes) {
+  if (mSlowTimer || !IsOpen() ||
+      mSocket->bytesToWrite() <= mLimits.mHighBytes) {
     return;
   }
   mSlowTimer = std::make_unique<QTimer>();
@@ -146,8 +146,8 @@
     }
   });
   mSlowTimer->start(mLimits.mSlowCaller);
-  mProgress = connect(
-    mSocket, &QTcpSocket::bytesWritten, this, [this] { OnProgress(); });
+  mProgress =
+    connect(mSocket, &QTcpSocket::bytesWritten, this, [this] { OnProgress(); });
   if (mOnPaused) {
     mOnPaused(true);
   }
--- a/Source/Filters/CallerServer.cxx
+++ b/Source/Filters/CallerServer.cxx
@@ -97,9 +97,8 @@
   if (!address) {
     return -1;
   }
-  const int fd = socket(address->mStorage.ss_family,
-                        SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC,
-                        0);
+  const int fd = socket(
+    address->mStorage.ss_family, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
   if (fd < 0) {
     return -1;
   }
@@ -127,8 +126,7 @@
   , mScanner(aOwner.Limits().mMaxHeaderBytes, aOwner.Limits().mMaxBodyBytes)
   , mSince(std::chrono::steady_clock::now())
 {
-  connect(
-    &mSocket, &QTcpSocket::readyRead, this, [this] { OnReadyRead(); });
+  connect(&mSocket, &QTcpSocket::readyRead, this, [this] { OnReadyRead(); });
 }
 
 CallerGate::~CallerGate()
@@ -296,10 +294,7 @@
   verdict.mRetryAfter = kRetryAfterFull;
   mOnRefused(verdict);
   aSocket.write(RefusalReply(verdict, { { "Connection", "close" } }));
-  connect(&aSocket,
-          &QTcpSocket::disconnected,
-          &aSocket,
-          &QObject::deleteLater);
+  connect(&aSocket, &QTcpSocket::disconnected, &aSocket, &QObject::deleteLater);
   aSocket.disconnectFromHost();
   return false;
 }
@@ -329,8 +324,8 @@
 {
   const int fd = OpenBound(aEndpoint, false);
   if (fd < 0) {
-    const auto code = errno == EADDRINUSE ? ErrorCode::kAddressInUse
-                                          : ErrorCode::kUnavailable;
+    const auto code =
+      errno == EADDRINUSE ? ErrorCode::kAddressInUse : ErrorCode::kUnavailable;
     return Failure(code,
                    "cannot listen on " + ToText(aEndpoint) + ": " +
                      std::strerror(errno));
--- a/Source/Filters/CancelQueue.cxx
+++ b/Source/Filters/CancelQueue.cxx
@@ -55,8 +55,7 @@
     return;
   }
   auto& entry = found->second;
-  entry.mRefusals =
-    aReply == CancelReply::kRefused ? entry.mRefusals + 1 : 0;
+  entry.mRefusals = aReply == CancelReply::kRefused ? entry.mRefusals + 1 : 0;
   const bool isOver = aReply == CancelReply::kConfirmed ||
                       aReply == CancelReply::kTargetGone ||
                       entry.mRefusals >= kRefusalsUntilGone;
--- a/Source/Filters/ClassifyFilter.cxx
+++ b/Source/Filters/ClassifyFilter.cxx
@@ -28,20 +28,18 @@
     aView.mTargets.begin(), aView.mTargets.end(), [&](const auto& aEntry) {
       const auto& target = aEntry.second;
       return target.mRole == TargetRole::kEngine &&
-             std::find(target.mModels.begin(),
-                       target.mModels.end(),
-                       aModel) != target.mModels.end();
+             std::find(target.mModels.begin(), target.mModels.end(), aModel) !=
+               target.mModels.end();
     });
 }
 
 std::string
 PromptText(const QJsonValue& aInput)
 {
-  return aInput.isString()
-           ? aInput.toString().toStdString()
-           : QJsonDocument(aInput.toArray())
-               .toJson(QJsonDocument::Compact)
-               .toStdString();
+  return aInput.isString() ? aInput.toString().toStdString()
+                           : QJsonDocument(aInput.toArray())
+                               .toJson(QJsonDocument::Compact)
+                               .toStdString();
 }
 
 /// Hashes of the prompt's prefixes; equal prefixes have equal hashes.
@@ -53,8 +51,7 @@
   for (std::size_t at = 0; at + kPrefixBlockBytes <= aPrompt.size() &&
                            hashes.size() < kMaxPrefixBlocks;
        at += kPrefixBlockBytes) {
-    hash =
-      XXH3_64bits_withSeed(aPrompt.data() + at, kPrefixBlockBytes, hash);
+    hash = XXH3_64bits_withSeed(aPrompt.data() + at, kPrefixBlockBytes, hash);
     hashes.push_back(hash);
   }
   return hashes;
--- a/Source/Filters/DispatcherFactory.cxx
+++ b/Source/Filters/DispatcherFactory.cxx
@@ -1,22 +1,55 @@
 #include "Filters/DispatcherFactory.h"
 
-#include "Filters/LeastOutstandingDispatcher.h"
+#include "Core/RandomSource.h"
+#include "Policy/DispatcherConfig.h"
+
+#include <array>
+#include <chrono>
+#include <utility>
 
 namespace ragwortdeck {
 
-std::unique_ptr<Dispatcher>
-MakeDispatcher(const std::string& aName)
+namespace {
+
+constexpr std::array<std::pair<const char*, DispatchPolicy>, 7> kPolicies = { {
+  { "credits", DispatchPolicy::kCredits },
+  { "corrected", DispatchPolicy::kCorrected },
+  { "independent", DispatchPolicy::kIndependent },
+  { "least-outstanding", DispatchPolicy::kLeastOutstanding },
+  { "two-random-choices", DispatchPolicy::kTwoRandomChoices },
+  { "round-robin", DispatchPolicy::kRoundRobin },
+  { "random", DispatchPolicy::kRandom },
+} };
+
+} // namespace
+
+std::vector<std::string>
+DispatcherNames()
 {
-  if (aName.empty() || aName == "least-outstanding") {
-    return std::make_unique<LeastOutstandingDispatcher>();
+  std::vector<std::string> names;
+  for (const auto& [name, policy] : kPolicies) {
+    names.emplace_back(name);
   }
-  return nullptr;
+  return names;
 }
 
-std::string
-DispatcherNames()
+std::unique_ptr<Dispatcher>
+MakeRouterDispatcher(const RouterSettings& aSettings, const Clock& aClock)
 {
-  return "least-outstanding";
+  DispatcherConfig config;
+  for (const auto& [name, policy] : kPolicies) {
+    if (aSettings.mDispatcher == name) {
+      config.mPolicy = policy;
+    }
+  }
+  config.mHost = aSettings.mHost;
+  config.mFailureDomain = aSettings.mFailureDomain;
+  config.mIncarnation =
+    std::uint64_t(std::chrono::duration_cast<std::chrono::milliseconds>(
+                    std::chrono::system_clock::now().time_since_epoch())
+                    .count());
+  config.mSeed = RandomSource::SystemSeed();
+  return MakeDispatcher(config, aClock);
 }
 
 } // namespace ragwortdeck
--- a/Source/Filters/DispatcherFactory.h
+++ b/Source/Filters/DispatcherFactory.h
@@ -1,20 +1,22 @@
 #pragma once
 
+#include "Core/Clock.h"
+#include "Filters/RouterSettings.h"
 #include "Policy/Dispatcher.h"
 
 #include <memory>
 #include <string>
+#include <vector>
 
 namespace ragwortdeck {
 
-/// The dispatcher named by the "dispatcher" setting; empty means the default.
-/// Returns nullptr for an unknown name. This is the only place that chooses a
-/// dispatcher.
-std::unique_ptr<Dispatcher>
-MakeDispatcher(const std::string& aName);
-
-/// Names that MakeDispatcher() takes.
-std::string
+/// Values of the "dispatcher" setting; the first is the default.
+std::vector<std::string>
 DispatcherNames();
 
+/// The dispatcher that the settings name. This is the only place of the
+/// request path that chooses one. aClock must outlive it.
+std::unique_ptr<Dispatcher>
+MakeRouterDispatcher(const RouterSettings& aSettings, const Clock& aClock);
+
 } // namespace ragwortdeck
--- a/Source/Filters/DispatcherHub.cxx
+++ b/Source/Filters/DispatcherHub.cxx
@@ -49,10 +49,10 @@
   Ticket ticket = 0;
   {
     const std::lock_guard lock(mMutex);
-    ticket = mDispatcher->Submit(
-      aTraits, [pending](const DispatchDecision& aDecision) {
-        Accept(pending, aDecision);
-      });
+    ticket = mDispatcher->Submit(aTraits,
+                                 [pending](const DispatchDecision& aDecision) {
+                                   Accept(pending, aDecision);
+                                 });
     pending->mIsSubmitting = false;
   }
   if (pending->mEarly) {
@@ -107,4 +107,25 @@
   mDispatcher->Tick();
 }
 
+bool
+DispatcherHub::TryRetry(const RequestTraits& aTraits)
+{
+  const std::lock_guard lock(mMutex);
+  return mDispatcher->TryRetry(aTraits);
+}
+
+PhaseLimits
+DispatcherHub::Limits(Ticket aTicket)
+{
+  const std::lock_guard lock(mMutex);
+  return mDispatcher->Limits(aTicket);
+}
+
+void
+DispatcherHub::With(const std::function<void(Dispatcher&)>& aUse)
+{
+  const std::lock_guard lock(mMutex);
+  aUse(*mDispatcher);
+}
+
 } // namespace ragwortdeck
--- a/Source/Filters/DispatcherHub.h
+++ b/Source/Filters/DispatcherHub.h
@@ -3,6 +3,7 @@
 #include "Policy/Dispatcher.h"
 
 #include <QObject>
+#include <functional>
 #include <memory>
 #include <mutex>
 
@@ -28,6 +29,11 @@
   void OnView(std::shared_ptr<const SiteView> aView);
   void OnLoadReport(const TargetId& aTarget, const LoadReport& aReport);
   void Tick();
+  bool TryRetry(const RequestTraits& aTraits);
+  PhaseLimits Limits(Ticket aTicket);
+  /// Runs aUse with the dispatcher under the lock, for what the control link
+  /// exchanges with it.
+  void With(const std::function<void(Dispatcher&)>& aUse);
 
 private:
   std::mutex mMutex;
--- a/Source/Filters/LoadPoller.cxx
+++ b/Source/Filters/LoadPoller.cxx
@@ -64,10 +64,9 @@
         return;
       }
       // The engine measured at some time after the call was sent.
-      report.value().mAgeMicros =
-        std::chrono::duration_cast<Duration>(
-          std::chrono::steady_clock::now() - sent)
-          .count();
+      report.value().mAgeMicros = std::chrono::duration_cast<Duration>(
+                                    std::chrono::steady_clock::now() - sent)
+                                    .count();
       mOnReport(id, report.value());
     });
 }
--- a/Source/Filters/ParseFilter.cxx
+++ b/Source/Filters/ParseFilter.cxx
@@ -77,10 +77,10 @@
   const auto document = QJsonDocument::fromJson(
     QByteArray::fromStdString(aContext.mRequest.mBody), &error);
   if (!document.isObject()) {
-    return BadRequest("invalid_json",
-                      "The body is not a JSON object: " +
-                        error.errorString().toStdString() + " at byte " +
-                        std::to_string(error.offset) + ".");
+    return BadRequest(
+      "invalid_json",
+      "The body is not a JSON object: " + error.errorString().toStdString() +
+        " at byte " + std::to_string(error.offset) + ".");
   }
   aContext.mBody = document.object();
   const auto& body = aContext.mBody;
@@ -98,7 +98,8 @@
   const auto limit = body["max_output_tokens"];
   if (!limit.isUndefined() && !limit.isNull()) {
     const auto value = limit.toDouble(0);
-    if (value < 1 || value > kMaxOutputTokens || value != double(qint64(value))) {
+    if (value < 1 || value > kMaxOutputTokens ||
+        value != double(qint64(value))) {
       return BadRequest("invalid_max_output_tokens",
                         "'max_output_tokens' must be a positive integer.");
     }
--- a/Source/Filters/RelaySession.cxx
+++ b/Source/Filters/RelaySession.cxx
@@ -35,7 +35,7 @@
   , mContext(std::move(aContext))
   , mOnOver(std::move(aOnOver))
   , mRelay(aEnvironment.mScheduler,
-           aEnvironment.mShared.mSettings.mPhases.mRelay,
+           aEnvironment.mShared.mSettings.mLimits.mRelay,
            mContext.mDeadline,
            MakeHooks())
 {
@@ -83,7 +83,6 @@
 void
 RelaySession::StartNew()
 {
-  mEnvironment.mShared.mRetries.OnRequest();
   Submit();
 }
 
@@ -125,18 +124,16 @@
   }
   mIsDispatched = true;
   const auto& target = std::get<TargetId>(aDecision);
-  mRelay.Start(target, FirstTokenLimit(target));
+  mRelay.Start(target, FirstTokenLimit());
 }
 
 Duration
-RelaySession::FirstTokenLimit(const TargetId& aTarget) const
+RelaySession::FirstTokenLimit() const
 {
-  const auto& phases = mEnvironment.mShared.mSettings.mPhases;
-  const auto view = mEnvironment.mShared.mView.Read();
-  const auto found = view->mTargets.find(aTarget);
-  const auto waiting =
-    found == view->mTargets.end() ? 0 : found->second.mLoad.mWaiting;
-  return phases.mFirstToken + phases.mFirstTokenPerWaiting * waiting;
+  const Duration fixed = mEnvironment.mShared.mSettings.mLimits.mFirstToken;
+  return fixed.count() > 0
+           ? fixed
+           : mEnvironment.mShared.mHub.Limits(mTicket).mFirstToken;
 }
 
 std::string
@@ -169,7 +166,7 @@
   }
   EngineRequest request;
   request.mAddress = found->second.mAddress;
-  request.mConnectTimeout = mEnvironment.mShared.mSettings.mPhases.mConnect;
+  request.mConnectTimeout = mEnvironment.mShared.mSettings.mLimits.mConnect;
   if (aIsNew) {
     request.mBody = EngineBody(aAttempt);
   } else {
@@ -205,9 +202,10 @@
 {
   kLog.Info(mContext.mId.Value() + ": attempt " +
             std::to_string(mRelay.Current().mNumber) + " on " +
-            mRelay.Current().mTarget.Value() + " failed before its first token");
+            mRelay.Current().mTarget.Value() +
+            " failed before its first token");
   FinishTicket(aOutcome);
-  if (!mEnvironment.mShared.mRetries.TrySpend()) {
+  if (!mEnvironment.mShared.mHub.TryRetry(mContext.mTraits)) {
     return false;
   }
   mContext.mTraits.mExcluded.push_back(mRelay.Current().mTarget);
@@ -267,8 +265,7 @@
     }
   } else {
     mEnvironment.mMetrics.OnToken(
-      now - mLastToken,
-      mEnvironment.mShared.mSettings.mPhases.mStallThreshold);
+      now - mLastToken, mEnvironment.mShared.mSettings.mLimits.mStallThreshold);
   }
   mLastToken = now;
   ++mTokens;
@@ -329,10 +326,8 @@
       break;
   }
   // The relay calls this as its last step, but its callers are still running.
-  mEnvironment.mScheduler.Post(Duration::zero(),
-                               [self = shared_from_this()] {
-                                 self->mOnOver(*self);
-                               });
+  mEnvironment.mScheduler.Post(
+    Duration::zero(), [self = shared_from_this()] { self->mOnOver(*self); });
 }
 
 void
--- a/Source/Filters/RelaySession.h
+++ b/Source/Filters/RelaySession.h
@@ -55,7 +55,7 @@
   std::string FailedEvent(const Verdict& aVerdict);
   std::string EngineBody(const Attempt& aAttempt) const;
   const std::string& CallerId(const Attempt& aAttempt);
-  Duration FirstTokenLimit(const TargetId& aTarget) const;
+  Duration FirstTokenLimit() const;
   HttpHeaders Headers() const;
 
   RequestEnvironment& mEnvironment;
--- a/Source/Filters/RequestEnvironment.h
+++ b/Source/Filters/RequestEnvironment.h
@@ -38,7 +38,7 @@
     , mView(mSettings.mBootstrapView ? mSettings.mBootstrapView
                                      : std::make_shared<const SiteView>())
     , mHub(std::move(aDispatcher))
-    , mRetries(mSettings.mPhases.mRetryShare)
+    , mRetries(mSettings.mLimits.mRetryShare)
     , mActionHook(std::move(aActionHook))
   {
   }
--- a/Source/Filters/RequestPath.cxx
+++ b/Source/Filters/RequestPath.cxx
@@ -292,10 +292,10 @@
   if (aIsCancel) {
     call.mUrl += "/cancel";
   }
-  call.mConnectTimeout = mEnvironment.mShared.mSettings.mPhases.mConnect;
+  call.mConnectTimeout = mEnvironment.mShared.mSettings.mLimits.mConnect;
   call.mTimeout = kForwardTimeout;
-  const auto callerId = EncodeResponseId({ attempt, aContext.mTeam },
-                                         mEnvironment.mShared.mKeys);
+  const auto callerId =
+    EncodeResponseId({ attempt, aContext.mTeam }, mEnvironment.mShared.mKeys);
   const auto exchange = aContext.mExchange;
   const auto reply = std::make_shared<std::string>();
   // Owns the transfer until its end.
@@ -322,13 +322,13 @@
       }
       const bool notSent = aEnd.mKind == TransferEndKind::kRefused ||
                            aEnd.mKind == TransferEndKind::kNotConnected;
-      Refuse(*exchange,
-             { notSent || !aIsCancel ? RunState::kNotRun
-                                     : RunState::kMayHaveRun,
-               kStatusBadGateway,
-               "target_failed",
-               "The engine of this response did not answer.",
-               kRetryElsewhere });
+      Refuse(
+        *exchange,
+        { notSent || !aIsCancel ? RunState::kNotRun : RunState::kMayHaveRun,
+          kStatusBadGateway,
+          "target_failed",
+          "The engine of this response did not answer.",
+          kRetryElsewhere });
     });
 }
 
--- a/Source/Filters/Router.h
+++ b/Source/Filters/Router.h
@@ -39,6 +39,9 @@
   void Shutdown(OnStopped aOnStopped);
   std::string MetricsText() const;
   int OpenStreams() const;
+  /// For the control link: credits, owners and cache events.
+  DispatcherHub& Hub() { return mShared.mHub; }
+  std::shared_ptr<const SiteView> View() const { return mShared.mView.Read(); }
 
 private:
   Router(RouterSettings aSettings,
--- a/Source/Filters/RouterMetrics.h
+++ b/Source/Filters/RouterMetrics.h
@@ -28,10 +28,9 @@
 private:
   boost::accumulators::accumulator_set<
     double,
-    boost::accumulators::stats<
-      boost::accumulators::tag::count,
-      boost::accumulators::tag::sum,
-      boost::accumulators::tag::extended_p_square>>
+    boost::accumulators::stats<boost::accumulators::tag::count,
+                               boost::accumulators::tag::sum,
+                               boost::accumulators::tag::extended_p_square>>
     mValues;
 };
 
--- a/Source/Filters/RouterSettings.cxx
+++ b/Source/Filters/RouterSettings.cxx
@@ -1,5 +1,7 @@
 #include "Filters/RouterSettings.h"
 
+#include "Filters/DispatcherFactory.h"
+
 #include <QFile>
 #include <QSslCertificate>
 #include <QSslKey>
@@ -74,8 +76,8 @@
     Unsigned(aSection, "max_output_tokens", 32'768, 1, kMaxUint32);
   const auto repeat =
     aSection.Choice("repeat", { "idempotent", "at-most-once" }, "idempotent");
-  row.mRepeat = repeat == "idempotent" ? RepeatRule::kIdempotent
-                                       : RepeatRule::kAtMostOnce;
+  row.mRepeat =
+    repeat == "idempotent" ? RepeatRule::kIdempotent : RepeatRule::kAtMostOnce;
   row.mReservedPercent = Unsigned(aSection, "reserved_percent", 0, 0, 100);
   return row;
 }
@@ -140,8 +142,7 @@
     aSection.Integer("max_body_bytes", 1 << 20, 1, std::int64_t(1) << 30));
   connections.mMaxHeaderBytes =
     std::size_t(aSection.Integer("max_header_bytes", 16 << 10, 256, 1 << 20));
-  const auto total =
-    aSection.Integer("max_connections", 20'000, 1, 1'000'000);
+  const auto total = aSection.Integer("max_connections", 20'000, 1, 1'000'000);
   const auto threads = std::int64_t(aSettings.mThreads);
   connections.mMaxConnections = std::size_t((total + threads - 1) / threads);
   connections.mIdle = aSection.Milliseconds(
@@ -163,12 +164,7 @@
   aPhases.mConnect =
     aSection.Milliseconds("connect_ms", aPhases.mConnect, least, kHour);
   aPhases.mFirstToken = aSection.Milliseconds(
-    "first_token_ms", aPhases.mFirstToken, least, kHour);
-  aPhases.mFirstTokenPerWaiting =
-    aSection.Milliseconds("first_token_per_waiting_ms",
-                          aPhases.mFirstTokenPerWaiting,
-                          milliseconds(0),
-                          kHour);
+    "first_token_ms", aPhases.mFirstToken, milliseconds(0), kHour);
   aPhases.mRelay.mStall = aSection.Milliseconds(
     "stall_ms",
     std::chrono::duration_cast<milliseconds>(aPhases.mRelay.mStall),
@@ -191,8 +187,7 @@
     Unsigned(aSection, "resume_attempts", 4, 0, 100);
   aPhases.mRelay.mFirstResumeDelay = aSection.Milliseconds(
     "resume_delay_ms", milliseconds(20), milliseconds(1), kHour);
-  aPhases.mServiceAttempts =
-    Unsigned(aSection, "service_attempts", 3, 1, 100);
+  aPhases.mServiceAttempts = Unsigned(aSection, "service_attempts", 3, 1, 100);
   aPhases.mRetryShare = aSection.Number("retry_share", 0.1, 0, 1);
 }
 
@@ -231,10 +226,14 @@
 {
   RouterSettings settings;
   settings.mHost = HostId(aRoot.RequiredString("host"));
+  settings.mFailureDomain =
+    FailureDomain(aRoot.String("failure_domain", "default"));
   settings.mListen = aRoot.RequiredEndpoint("listen");
   settings.mThreads = Unsigned(aRoot, "threads", 2, 1, 64);
   settings.mKeys = ReadKeys(aRoot);
-  settings.mDispatcher = aRoot.String("dispatcher", "");
+  const auto dispatchers = DispatcherNames();
+  settings.mDispatcher =
+    aRoot.Choice("dispatcher", dispatchers, dispatchers.front());
   {
     auto tls = OptionalSection(aRoot, "tls");
     settings.mTlsCertificate = tls.String("certificate", "");
@@ -244,8 +243,8 @@
     }
   }
   ReadLimits(OptionalSection(aRoot, "limits"), settings);
-  ReadPhases(OptionalSection(aRoot, "timeouts"), settings.mPhases);
-  ReadRetries(OptionalSection(aRoot, "retries"), settings.mPhases);
+  ReadPhases(OptionalSection(aRoot, "timeouts"), settings.mLimits);
+  ReadRetries(OptionalSection(aRoot, "retries"), settings.mLimits);
   {
     auto shutdown = OptionalSection(aRoot, "shutdown");
     settings.mShutdownGrace = shutdown.Milliseconds(
--- a/Source/Filters/RouterSettings.h
+++ b/Source/Filters/RouterSettings.h
@@ -20,10 +20,9 @@
 struct RequestLimits
 {
   std::chrono::milliseconds mConnect{ 1000 };
-  /// Limit for the first token on an engine with an empty queue.
-  std::chrono::milliseconds mFirstToken{ 10'000 };
-  /// Added to it for each request that waits on the engine.
-  std::chrono::milliseconds mFirstTokenPerWaiting{ 200 };
+  /// Limit for the first token; zero takes the dispatcher's limit, which grows
+  /// with the engine's queue.
+  std::chrono::milliseconds mFirstToken{ 0 };
   RelayLimits mRelay;
   /// Limit of one call to a service.
   std::chrono::milliseconds mService{ 5'000 };
@@ -32,7 +31,7 @@
   /// A look-up without a reply is sent to a second target after this; zero
   /// turns hedging off.
   std::chrono::milliseconds mHedge{ 0 };
-  /// Share of recent requests that may be retried.
+  /// Share of recent look-ups that may be retried.
   double mRetryShare = 0.1;
   /// Gaps between tokens above this count as stalls in the metrics.
   std::chrono::milliseconds mStallThreshold{ 1000 };
@@ -42,12 +41,13 @@
 struct RouterSettings
 {
   HostId mHost;
+  FailureDomain mFailureDomain;
   Endpoint mListen;
   std::uint32_t mThreads = 2;
   std::vector<SharedKey> mKeys;
   ConnectionLimits mConnections;
   CallerBufferLimits mBuffers;
-  RequestLimits mPhases;
+  RequestLimits mLimits;
   std::string mDispatcher;
   std::string mTlsCertificate;
   std::string mTlsKey;
--- a/Source/Filters/RouterThread.cxx
+++ b/Source/Filters/RouterThread.cxx
@@ -20,9 +20,9 @@
   if (aEnd.mKind == TransferEndKind::kRefused) {
     return CancelReply::kRefused;
   }
-  const bool isConfirmed = aEnd.mKind == TransferEndKind::kReplied &&
-                           (aEnd.mStatus == kStatusOk ||
-                            aEnd.mStatus == kNotFound);
+  const bool isConfirmed =
+    aEnd.mKind == TransferEndKind::kReplied &&
+    (aEnd.mStatus == kStatusOk || aEnd.mStatus == kNotFound);
   return isConfirmed ? CancelReply::kConfirmed : CancelReply::kUnknown;
 }
 
@@ -56,10 +56,9 @@
 
   static std::string IdPrefix(const RouterThread& aThread)
   {
-    const auto micros =
-      std::chrono::duration_cast<std::chrono::microseconds>(
-        std::chrono::system_clock::now().time_since_epoch())
-        .count();
+    const auto micros = std::chrono::duration_cast<std::chrono::microseconds>(
+                          std::chrono::system_clock::now().time_since_epoch())
+                          .count();
     return aThread.mShared.mSettings.mHost.Value() + "-" +
            std::to_string(micros) + "-" + std::to_string(aThread.mIndex);
   }
@@ -91,6 +90,8 @@
     QEventLoop().exec();
     mLoop.reset();
   }));
+  // The name shows in the process table; benchmarks find the threads by it.
+  mThread->setObjectName("router-" + QString::number(mIndex));
   mThread->start();
   ready.acquire();
 }
--- a/Source/Filters/ServiceCaller.cxx
+++ b/Source/Filters/ServiceCaller.cxx
@@ -1,8 +1,7 @@
 #include "Filters/ServiceCaller.h"
 
-#include "Filters/ClassifyFilter.h"
+#include "Filters/ServiceTransport.h"
 
-#include <QPointer>
 #include <algorithm>
 #include <utility>
 
@@ -13,7 +12,6 @@
 constexpr int kStatusBadGateway = 502;
 constexpr int kStatusUnavailable = 503;
 constexpr int kStatusTimeout = 504;
-constexpr int kFirstErrorStatus = 300;
 constexpr std::chrono::milliseconds kRetryAfter{ 500 };
 constexpr std::size_t kMaxReplyBytes = 8 << 20;
 
@@ -29,10 +27,10 @@
 Verdict
 NoTarget(const std::string& aService)
 {
-  auto verdict = Refusal(kStatusUnavailable,
-                         "no_target",
-                         "No target of service '" + aService +
-                           "' is available.");
+  auto verdict =
+    Refusal(kStatusUnavailable,
+            "no_target",
+            "No target of service '" + aService + "' is available.");
   verdict.mRetryAfter = kRetryAfter;
   return verdict;
 }
@@ -48,20 +46,12 @@
            std::chrono::milliseconds(0) };
 }
 
-ServiceReplyKind
-ToReplyKind(TransferEndKind aKind)
+/// True when no connection was established, so nothing was sent.
+bool
+WasNotSent(TransferEndKind aKind)
 {
-  switch (aKind) {
-    case TransferEndKind::kReplied:
-      return ServiceReplyKind::kReplied;
-    case TransferEndKind::kRefused:
-    case TransferEndKind::kNotConnected:
-      return ServiceReplyKind::kNotSent;
-    case TransferEndKind::kTimedOut:
-    case TransferEndKind::kDropped:
-      break;
-  }
-  return ServiceReplyKind::kUnknown;
+  return aKind == TransferEndKind::kRefused ||
+         aKind == TransferEndKind::kNotConnected;
 }
 
 } // namespace
@@ -85,31 +75,12 @@
   aCall.mReply += aBytes;
 }
 
-const Target*
-ServiceCaller::ChooseTarget()
-{
-  std::vector<const Target*> fresh;
-  std::vector<const Target*> all;
-  for (const auto& [id, target] : mContext.mView->mTargets) {
-    if (target.mState != TargetState::kLive ||
-        !OffersService(target, mContext.mService)) {
-      continue;
-    }
-    all.push_back(&target);
-    if (std::find(mTried.begin(), mTried.end(), id) == mTried.end()) {
-      fresh.push_back(&target);
-    }
-  }
-  const auto& choice = fresh.empty() ? all : fresh;
-  return choice.empty() ? nullptr : choice[mRandom.Below(choice.size())];
-}
-
 HttpCall
-ServiceCaller::MakeCall(const Target& aTarget, bool aIsQuery) const
+ServiceCaller::MakeCall(const Target& aTarget) const
 {
   const auto& request = mContext.mRequest;
   HttpCall call;
-  call.mMethod = request.mIsPost && !aIsQuery ? "POST" : "GET";
+  call.mMethod = request.mIsPost ? "POST" : "GET";
   call.mUrl = "http://" + aTarget.mAddress + "/v1/services/" +
               mContext.mService + "/" + mContext.mOperation;
   if (!request.mQuery.empty()) {
@@ -124,7 +95,7 @@
     call.mBody = request.mBody;
     call.mHeaders.emplace_back("Content-Type: application/json");
   }
-  const auto& phases = mEnvironment.mShared.mSettings.mPhases;
+  const auto& phases = mEnvironment.mShared.mSettings.mLimits;
   call.mConnectTimeout = phases.mConnect;
   const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(
     mContext.mDeadline - mEnvironment.mScheduler.Now());
@@ -147,7 +118,8 @@
 bool
 ServiceCaller::TryLookUp()
 {
-  const auto* target = ChooseTarget();
+  const auto* target =
+    ChooseServiceTarget(*mContext.mView, mContext.mService, mTried, mRandom);
   if (!target) {
     return false;
   }
@@ -156,7 +128,7 @@
   const auto call = mCalls.emplace(mCalls.end());
   // The transfer keeps this object until it ends.
   call->mTransfer = mEnvironment.mCurl.Start(
-    MakeCall(*target, false),
+    MakeCall(*target),
     [call](std::string_view aBytes) { Collect(aBytes, *call); },
     [self = shared_from_this(), call](const TransferEnd& aEnd) {
       self->OnLookUpEnd(call, aEnd);
@@ -167,12 +139,12 @@
 void
 ServiceCaller::ArmHedge()
 {
-  const auto& phases = mEnvironment.mShared.mSettings.mPhases;
+  const auto& phases = mEnvironment.mShared.mSettings.mLimits;
   if (phases.mHedge.count() == 0) {
     return;
   }
-  mHedge = mEnvironment.mScheduler.After(
-    phases.mHedge, [weak = weak_from_this()] {
+  mHedge =
+    mEnvironment.mScheduler.After(phases.mHedge, [weak = weak_from_this()] {
       const auto self = weak.lock();
       if (self && !self->mIsDone &&
           self->mEnvironment.mShared.mRetries.TrySpend()) {
@@ -198,16 +170,14 @@
     // Abandons a slower hedged call.
     mCalls.clear();
     mEnvironment.mMetrics.OnEnded("completed");
-    mContext.mExchange->Reply(
-      aEnd.mStatus,
-      "application/json",
-      reply,
-      { { "X-Ragwort-Verdict", ToText(RunState::kRan) },
-        { "X-Request-Id", mContext.mId.Value() } });
+    mContext.mExchange->Reply(aEnd.mStatus,
+                              "application/json",
+                              reply,
+                              { { "X-Ragwort-Verdict", ToText(RunState::kRan) },
+                                { "X-Request-Id", mContext.mId.Value() } });
     return;
   }
-  mMayHaveRun = mMayHaveRun || ToReplyKind(aEnd.mKind) !=
-                                 ServiceReplyKind::kNotSent;
+  mMayHaveRun = mMayHaveRun || !WasNotSent(aEnd.mKind);
   mCalls.erase(aCall);
   if (!mCalls.empty()) {
     return;
@@ -215,7 +185,7 @@
   const auto& shared = mEnvironment.mShared;
   const bool hasTime = mEnvironment.mScheduler.Now() < mContext.mDeadline;
   const bool mayRetry = hasTime && mContext.mExchange->IsOpen() &&
-                        mAttempts < shared.mSettings.mPhases.mServiceAttempts;
+                        mAttempts < shared.mSettings.mLimits.mServiceAttempts;
   if (mayRetry && mEnvironment.mShared.mRetries.TrySpend() && TryLookUp()) {
     return;
   }
@@ -231,24 +201,14 @@
 ServiceCaller::StartAction()
 {
   const auto& request = mContext.mRequest;
-  const ActionCall call{ mContext.mId,
-                         mContext.mTeam,
-                         mContext.mService,
-                         mContext.mOperation,
+  const ActionCall call{ mContext.mTeam,
+                         mContext.mService + "/" + mContext.mOperation,
                          request.mIdempotencyKey,
-                         request.mBody,
-                         mContext.mDeadline };
-  const auto self = shared_from_this();
-  ActionTransport transport;
-  transport.mDispatch = [self](OnServiceReply aOnReply) {
-    self->SendOnce(false, std::move(aOnReply));
-  };
-  transport.mQuery = [self](OnServiceReply aOnReply) {
-    self->SendOnce(true, std::move(aOnReply));
-  };
+                         "application/json",
+                         request.mBody };
   auto* context = &mEnvironment.mThreadContext;
   mEnvironment.mShared.mActionHook(
-    call, std::move(transport), [self, context](const ActionResult& aResult) {
+    call, [self = shared_from_this(), context](const ActionResult& aResult) {
       QMetaObject::invokeMethod(
         context,
         [self, aResult] { self->FinishAction(aResult); },
@@ -256,48 +216,23 @@
     });
 }
 
-void
-ServiceCaller::SendOnce(bool aIsQuery, OnServiceReply aOnReply)
-{
-  const auto* target = ChooseTarget();
-  if (!target) {
-    aOnReply({ ServiceReplyKind::kNotSent, 0, "" });
-    return;
-  }
-  auto request = MakeCall(*target, aIsQuery);
-  // libcurl may repeat a request on a reused connection.
-  request.mFreshConnection = true;
-  const auto call = mCalls.emplace(mCalls.end());
-  call->mTransfer = mEnvironment.mCurl.Start(
-    request,
-    [call](std::string_view aBytes) { Collect(aBytes, *call); },
-    [self = shared_from_this(), call, onReply = std::move(aOnReply)](
-      const TransferEnd& aEnd) {
-      const auto kind = call->mIsTooLarge ? ServiceReplyKind::kUnknown
-                                          : ToReplyKind(aEnd.mKind);
-      const ServiceReply reply{ kind, aEnd.mStatus, std::move(call->mReply) };
-      self->mCalls.erase(call);
-      onReply(reply);
-    });
-}
-
 void
 ServiceCaller::FinishAction(const ActionResult& aResult)
 {
-  if (std::exchange(mIsDone, true)) {
+  if (mIsDone) {
     return;
   }
-  const auto& verdict = aResult.mVerdict;
-  if (verdict.mStatus >= kFirstErrorStatus) {
-    mIsDone = false;
-    Refuse(verdict);
+  if (aResult.mVerdict.mState != RunState::kRan) {
+    Refuse(aResult.mVerdict);
     return;
   }
+  mIsDone = true;
   mEnvironment.mMetrics.OnEnded("completed");
-  auto headers = VerdictHeaders(verdict);
+  auto headers = VerdictHeaders(aResult.mVerdict);
   headers.emplace_back("X-Request-Id", mContext.mId.Value());
+  const auto& outcome = aResult.mOutcome;
   mContext.mExchange->Reply(
-    verdict.mStatus, "application/json", aResult.mBody, std::move(headers));
+    outcome.mStatus, outcome.mContentType, outcome.mBody, std::move(headers));
 }
 
 void
--- a/Source/Filters/ServiceCaller.h
+++ b/Source/Filters/ServiceCaller.h
@@ -34,16 +34,13 @@
   };
 
   static void Collect(std::string_view aBytes, InFlight& aCall);
-  const Target* ChooseTarget();
-  HttpCall MakeCall(const Target& aTarget, bool aIsQuery) const;
+  HttpCall MakeCall(const Target& aTarget) const;
   bool TryLookUp();
   void OnLookUpEnd(std::list<InFlight>::iterator aCall,
                    const TransferEnd& aEnd);
   void ArmHedge();
-  void SendOnce(bool aIsQuery, OnServiceReply aOnReply);
   void FinishAction(const ActionResult& aResult);
   void Refuse(Verdict aVerdict);
-  bool IsPost() const { return mContext.mRequest.mIsPost; }
 
   RequestEnvironment& mEnvironment;
   RequestContext mContext;
--- a/Source/Filters/StreamRelay.cxx
+++ b/Source/Filters/StreamRelay.cxx
@@ -141,7 +141,8 @@
       Bind();
       Touch(mLimits.mStall);
     } else if (mHeldBytes > mLimits.mMaxHeldBytes) {
-      Replace(DispatchOutcome::kTargetFailed, "too much before the first token");
+      Replace(DispatchOutcome::kTargetFailed,
+              "too much before the first token");
       return;
     }
     if (isLast) {
@@ -248,9 +249,9 @@
 {
   mHooks.mClose();
   if (mResumesSinceProgress >= mLimits.mResumeAttempts) {
-    mIsBound ? Lose("the engine cannot be reached")
-             : Replace(DispatchOutcome::kTargetFailed,
-                       "the engine cannot be reached");
+    mIsBound
+      ? Lose("the engine cannot be reached")
+      : Replace(DispatchOutcome::kTargetFailed, "the engine cannot be reached");
     return;
   }
   const auto shift = std::min(mResumesSinceProgress, kMaxBackoffShift);
--- a/Source/Programs/Load.cxx
+++ b/Source/Programs/Load.cxx
@@ -40,8 +40,7 @@
   const auto secret = section.RequiredString("secret");
   const auto ring = KeyRing::Create({ { id, secret } });
   if (!ring) {
-    aRoot.Reject("key",
-                 "expected a key for 'team': " + ring.error().mMessage);
+    aRoot.Reject("key", "expected a key for 'team': " + ring.error().mMessage);
     return {};
   }
   return ring.value().IssueTeamToken(team);
--- a/Source/Programs/Router.cxx
+++ b/Source/Programs/Router.cxx
@@ -44,8 +44,9 @@
   const int signals = OpenSignals();
   QCoreApplication app(argc, argv);
   const RcuReaderThread reader;
+  const QtScheduler clock;
   auto router =
-    Router::Start(aSettings, MakeDispatcher(aSettings.mDispatcher), nullptr);
+    Router::Start(aSettings, MakeRouterDispatcher(aSettings, clock), nullptr);
   if (!router) {
     kLog.Error(router.error().mMessage);
     return ToExitCode(router.error());
@@ -73,9 +74,6 @@
   spec.mDescription = "Serves callers' requests on an entry host";
   spec.mLoad = [&](SettingsSection& aRoot) -> ProgramSpec::Run {
     const auto settings = ReadRouterSettings(aRoot);
-    if (!MakeDispatcher(settings.mDispatcher)) {
-      aRoot.Reject("dispatcher", "expected one of " + DispatcherNames());
-    }
     return [&argc, argv, settings] { return Serve(argc, argv, settings); };
   };
   return RunProgram(argc, argv, spec);
--- a/Source/Targets/CurlMulti.cxx
+++ b/Source/Targets/CurlMulti.cxx
@@ -113,12 +113,9 @@
   curl_multi_setopt(mMulti, CURLMOPT_TIMERFUNCTION, &CurlMulti::OnTimer);
   curl_multi_setopt(mMulti, CURLMOPT_TIMERDATA, this);
   curl_multi_setopt(mMulti, CURLMOPT_MAXCONNECTS, kMaxIdleConnections);
-  mNotifier =
-    std::make_unique<QSocketNotifier>(mEpoll, QSocketNotifier::Read);
-  connect(mNotifier.get(),
-          &QSocketNotifier::activated,
-          this,
-          &CurlMulti::OnReadable);
+  mNotifier = std::make_unique<QSocketNotifier>(mEpoll, QSocketNotifier::Read);
+  connect(
+    mNotifier.get(), &QSocketNotifier::activated, this, &CurlMulti::OnReadable);
   mTimer.setSingleShot(true);
   mTimer.setTimerType(Qt::PreciseTimer);
   connect(
--- a/Source/Targets/LoadReportJson.cxx
+++ b/Source/Targets/LoadReportJson.cxx
@@ -31,8 +31,8 @@
 Result<LoadReport>
 ParseLoadReport(std::string_view aJson)
 {
-  const auto document = QJsonDocument::fromJson(
-    QByteArray(aJson.data(), qsizetype(aJson.size())));
+  const auto document =
+    QJsonDocument::fromJson(QByteArray(aJson.data(), qsizetype(aJson.size())));
   const auto metrics = document.object()["named_metrics"];
   if (!metrics.isObject()) {
     return Failure(ErrorCode::kCorrupt,
--- a/Source/Targets/LoadRun.cxx
+++ b/Source/Targets/LoadRun.cxx
@@ -75,8 +75,7 @@
   if (aSamples.empty()) {
     return 0;
   }
-  const auto rank =
-    std::size_t(aQuantile * double(aSamples.size() - 1) + 0.5);
+  const auto rank = std::size_t(aQuantile * double(aSamples.size() - 1) + 0.5);
   const auto at = aSamples.begin() + std::ptrdiff_t(rank);
   std::nth_element(aSamples.begin(), at, aSamples.end());
   return *at;
@@ -147,8 +146,7 @@
   mOnDone = std::move(aOnDone);
   const auto first = std::min(mPlan.mStreams, mPlan.mRequests);
   for (std::uint32_t n = 0; n < first; ++n) {
-    mScheduler.Post(mPlan.mRamp * n / std::max(first, 1U),
-                    [this] { Next(); });
+    mScheduler.Post(mPlan.mRamp * n / std::max(first, 1U), [this] { Next(); });
   }
 }
 
@@ -181,8 +179,8 @@
   }
   const auto stream = std::make_shared<Stream>();
   stream->mIndex = mStarted++;
-  stream->mMarker = "m" + std::to_string(mPlan.mSeed) + "-" +
-                    std::to_string(stream->mIndex);
+  stream->mMarker =
+    "m" + std::to_string(mPlan.mSeed) + "-" + std::to_string(stream->mIndex);
   stream->mStart = mScheduler.Now();
   mOpen.push_back(stream);
   Open(stream);
--- a/Tests/Programs/StandInEngine.cxx
+++ b/Tests/Programs/StandInEngine.cxx
@@ -32,12 +32,12 @@
   if (aRoot.Has("models")) {
     options.mModels = aRoot.StringList("models");
   }
-  options.mTokenInterval = Duration(
-    aRoot.Integer("token_interval_us", 20'000, 100, 60'000'000));
+  options.mTokenInterval =
+    Duration(aRoot.Integer("token_interval_us", 20'000, 100, 60'000'000));
   options.mPrefillPerToken =
     Duration(aRoot.Integer("prefill_per_token_us", 20, 0, 1'000'000));
-  options.mMemoryTokens = std::uint64_t(
-    aRoot.Integer("memory_tokens", 200'000, 1, 1'000'000'000));
+  options.mMemoryTokens =
+    std::uint64_t(aRoot.Integer("memory_tokens", 200'000, 1, 1'000'000'000));
   options.mMaxBatch =
     std::uint32_t(aRoot.Integer("max_batch", 256, 1, 100'000));
   options.mMinOutputTokens =
@@ -124,9 +124,8 @@
   spec.mLoad = [&](SettingsSection& aRoot) -> ProgramSpec::Run {
     const auto listen = aRoot.RequiredEndpoint("listen");
     const auto options = ReadOptions(aRoot);
-    const auto rates = aRoot.Has("faults")
-                         ? ReadFaults(aRoot.Section("faults"))
-                         : FaultRates();
+    const auto rates =
+      aRoot.Has("faults") ? ReadFaults(aRoot.Section("faults")) : FaultRates();
     return [&argc, argv, listen, options, rates] {
       return Serve(argc, argv, listen, options, rates);
     };
--- a/Tests/Programs/StandInService.cxx
+++ b/Tests/Programs/StandInService.cxx
@@ -37,8 +37,7 @@
   spec.mLoad = [&](SettingsSection& aRoot) -> ProgramSpec::Run {
     const auto listen = aRoot.RequiredEndpoint("listen");
     ServiceOptions options;
-    options.mDelay =
-      Duration(aRoot.Integer("delay_us", 2'000, 0, 600'000'000));
+    options.mDelay = Duration(aRoot.Integer("delay_us", 2'000, 0, 600'000'000));
     options.mKnowsKeys = aRoot.Boolean("knows_keys", true);
     return [&argc, argv, listen, options] {
       return Serve(argc, argv, listen, options);
--- a/Tests/StandIns/EngineModel.cxx
+++ b/Tests/StandIns/EngineModel.cxx
@@ -40,8 +40,9 @@
 {
   aBody["type"] = aType;
   aBody["sequence_number"] = qint64(aSequence);
-  return "event: " + aType.toLatin1() + "\ndata: " +
-         QJsonDocument(aBody).toJson(QJsonDocument::Compact) + "\n\n";
+  return "event: " + aType.toLatin1() +
+         "\ndata: " + QJsonDocument(aBody).toJson(QJsonDocument::Compact) +
+         "\n\n";
 }
 
 QJsonObject
@@ -218,9 +219,8 @@
   }
   mFencing = std::max(mFencing, aFencing);
   ++mOrders;
-  mScheduler.Post(mOptions.mLoadModelTime, [this, aModels] {
-    mOptions.mModels = aModels;
-  });
+  mScheduler.Post(mOptions.mLoadModelTime,
+                  [this, aModels] { mOptions.mModels = aModels; });
   return 202;
 }
 
@@ -329,8 +329,7 @@
   }
   // Steps keep their cadence when one is late.
   mNextStep = std::max(mNextStep + mOptions.mTokenInterval, mScheduler.Now());
-  mTimer =
-    mScheduler.After(mNextStep - mScheduler.Now(), [this] { Step(); });
+  mTimer = mScheduler.After(mNextStep - mScheduler.Now(), [this] { Step(); });
 }
 
 QByteArray
--- a/Tests/StandIns/EngineServer.cxx
+++ b/Tests/StandIns/EngineServer.cxx
@@ -51,8 +51,8 @@
     [this](const QHttpServerRequest& aRequest, QHttpServerResponder&& aReply) {
       Handle(aRequest, *aReply.socket());
     });
-  return mHttp->listen(
-    QHostAddress(QString::fromStdString(aEndpoint.mAddress)), aEndpoint.mPort);
+  return mHttp->listen(QHostAddress(QString::fromStdString(aEndpoint.mAddress)),
+                       aEndpoint.mPort);
 }
 
 void
@@ -116,8 +116,8 @@
   }
   generation.mModel = model;
   if (body["metadata"].isObject()) {
-    generation.mMetadata = QJsonDocument(body["metadata"].toObject())
-                             .toJson(QJsonDocument::Compact);
+    generation.mMetadata =
+      QJsonDocument(body["metadata"].toObject()).toJson(QJsonDocument::Compact);
   }
   generation.mInputHash = XXH3_64bits(input.data(), std::size_t(input.size()));
   generation.mPromptTokens = CountPromptTokens(input);
@@ -128,7 +128,8 @@
     options.mMinOutputTokens + std::uint32_t(mRandom.Below(span));
   const auto wanted = body["output_tokens"].toInt(int(chosen));
   const auto limit = body["max_output_tokens"].toInt(wanted);
-  generation.mOutputTokens = std::uint32_t(std::max(1, std::min(wanted, limit)));
+  generation.mOutputTokens =
+    std::uint32_t(std::max(1, std::min(wanted, limit)));
   auto* created = mModel.Create(std::move(generation));
   if (!created) {
     WriteReply(aSocket, 409, R"({"error":{"code":"duplicate_id"}})");
@@ -230,9 +231,8 @@
   for (; aReader.mNext < count && !aReader.mStalled; ++aReader.mNext) {
     const auto sequence = aReader.mNext;
     const auto fault =
-      mChooseFault
-        ? mChooseFault(*generation, sequence, aReader.mConnection)
-        : StreamFault::kNone;
+      mChooseFault ? mChooseFault(*generation, sequence, aReader.mConnection)
+                   : StreamFault::kNone;
     switch (fault) {
       case StreamFault::kNone:
         text += generation->EventText(sequence);
--- a/Tests/StandIns/ServiceServer.cxx
+++ b/Tests/StandIns/ServiceServer.cxx
@@ -21,8 +21,8 @@
     [this](const QHttpServerRequest& aRequest, QHttpServerResponder&& aReply) {
       Handle(aRequest, *aReply.socket());
     });
-  return mHttp->listen(
-    QHostAddress(QString::fromStdString(aEndpoint.mAddress)), aEndpoint.mPort);
+  return mHttp->listen(QHostAddress(QString::fromStdString(aEndpoint.mAddress)),
+                       aEndpoint.mPort);
 }
 
 void
@@ -71,8 +71,7 @@
   if (!key.empty()) {
     const auto found = mOutcomes.find(key);
     const bool isKnown = found != mOutcomes.end();
-    WriteReply(
-      aSocket, isKnown ? 200 : 404, isKnown ? found->second : "{}");
+    WriteReply(aSocket, isKnown ? 200 : 404, isKnown ? found->second : "{}");
     return;
   }
   ++mLookUps;
