Filters: Merge the request path and connect it to control

Cause: the router had its own action transport per request, and nothing fed it views and credits from ragwort-control. Ruled out: the transport on the request's thread, because the executor's callbacks could then destroy objects of another thread. Change: ActionGateway uses ServiceTransport on the executor's thread; ControlLink passes views, credits and live hosts to the router and credit requests to control; the host list's role label is 'router' as in the design, and its 'model' label names models and services. Conclusion: one process per role is now complete on an entry host.

--- a/Source/Control/ControlProcess.cxx
+++ b/Source/Control/ControlProcess.cxx
@@ -12,7 +12,7 @@
 RoleOf(ListedRole aRole)
 {
   switch (aRole) {
-    case ListedRole::kEntry:
+    case ListedRole::kRouter:
       return HostRole::kEntry;
     case ListedRole::kEngine:
       return HostRole::kEngine;
@@ -189,9 +189,9 @@
                       host.mAddress,
                       host.mFailureDomain,
                       host.mLeaving,
-                      {},
+                      host.mModels,
                       host.mChecksFencing });
-    if (host.mRole == ListedRole::kEntry && mSettings.mListedPeerPort != 0) {
+    if (host.mRole == ListedRole::kRouter && mSettings.mListedPeerPort != 0) {
       const auto colon = host.mAddress.rfind(':');
       peers.push_back(host.mAddress.substr(0, colon + 1) +
                       std::to_string(mSettings.mListedPeerPort));
--- a/Source/Filters/RequestPath.cxx
+++ b/Source/Filters/RequestPath.cxx
@@ -292,7 +292,7 @@
   if (aIsCancel) {
     call.mUrl += "/cancel";
   }
-  call.mConnectTimeout = mEnvironment.mShared.mSettings.mPhases.mConnect;
+  call.mConnectTimeout = mEnvironment.mShared.mSettings.mLimits.mConnect;
   call.mTimeout = kForwardTimeout;
   const auto callerId =
     EncodeResponseId({ attempt, aContext.mTeam }, mEnvironment.mShared.mKeys);
--- a/Source/Filters/RouterSettings.cxx
+++ b/Source/Filters/RouterSettings.cxx
@@ -1,5 +1,7 @@
 #include "Filters/RouterSettings.h"
 
+#include "Filters/DispatcherFactory.h"
+
 #include <QFile>
 #include <QSslCertificate>
 #include <QSslKey>
@@ -23,6 +25,19 @@
   return std::uint32_t(aSection.Integer(aKey, aFallback, aMin, aMax));
 }
 
+/// A nested mapping that may be absent.
+SettingsSection
+OptionalSection(SettingsSection& aSection, const std::string& aKey)
+{
+  if (aSection.Has(aKey)) {
+    return aSection.Section(aKey);
+  }
+  return SettingsSection(YAML::Node(YAML::NodeType::Map),
+                         {},
+                         {},
+                         std::make_shared<std::vector<SettingsError>>());
+}
+
 template<typename Name>
 std::vector<Name>
 Names(SettingsSection& aSection, const std::string& aKey)
@@ -143,18 +158,13 @@
 }
 
 void
-ReadPhases(SettingsSection aSection, RequestPhaseLimits& aPhases)
+ReadPhases(SettingsSection aSection, RequestLimits& aPhases)
 {
   const milliseconds least(1);
   aPhases.mConnect =
     aSection.Milliseconds("connect_ms", aPhases.mConnect, least, kHour);
-  aPhases.mFirstToken =
-    aSection.Milliseconds("first_token_ms", aPhases.mFirstToken, least, kHour);
-  aPhases.mFirstTokenPerWaiting =
-    aSection.Milliseconds("first_token_per_waiting_ms",
-                          aPhases.mFirstTokenPerWaiting,
-                          milliseconds(0),
-                          kHour);
+  aPhases.mFirstToken = aSection.Milliseconds(
+    "first_token_ms", aPhases.mFirstToken, milliseconds(0), kHour);
   aPhases.mRelay.mStall = aSection.Milliseconds(
     "stall_ms",
     std::chrono::duration_cast<milliseconds>(aPhases.mRelay.mStall),
@@ -169,7 +179,7 @@
 }
 
 void
-ReadRetries(SettingsSection aSection, RequestPhaseLimits& aPhases)
+ReadRetries(SettingsSection aSection, RequestLimits& aPhases)
 {
   aPhases.mRelay.mMaxAttempts =
     Unsigned(aSection, "engine_attempts", 3, 1, 100);
@@ -216,23 +226,27 @@
 {
   RouterSettings settings;
   settings.mHost = HostId(aRoot.RequiredString("host"));
+  settings.mFailureDomain =
+    FailureDomain(aRoot.String("failure_domain", "default"));
   settings.mListen = aRoot.RequiredEndpoint("listen");
   settings.mThreads = Unsigned(aRoot, "threads", 2, 1, 64);
   settings.mKeys = ReadKeys(aRoot);
-  settings.mDispatcher = aRoot.String("dispatcher", "");
+  const auto dispatchers = DispatcherNames();
+  settings.mDispatcher =
+    aRoot.Choice("dispatcher", dispatchers, dispatchers.front());
   {
-    auto tls = aRoot.Section("tls");
+    auto tls = OptionalSection(aRoot, "tls");
     settings.mTlsCertificate = tls.String("certificate", "");
     settings.mTlsKey = tls.String("key", "");
     if (settings.mTlsCertificate.empty() != settings.mTlsKey.empty()) {
       tls.Reject("key", "expected both 'certificate' and 'key', or neither");
     }
   }
-  ReadLimits(aRoot.Section("limits"), settings);
-  ReadPhases(aRoot.Section("timeouts"), settings.mPhases);
-  ReadRetries(aRoot.Section("retries"), settings.mPhases);
+  ReadLimits(OptionalSection(aRoot, "limits"), settings);
+  ReadPhases(OptionalSection(aRoot, "timeouts"), settings.mLimits);
+  ReadRetries(OptionalSection(aRoot, "retries"), settings.mLimits);
   {
-    auto shutdown = aRoot.Section("shutdown");
+    auto shutdown = OptionalSection(aRoot, "shutdown");
     settings.mShutdownGrace = shutdown.Milliseconds(
       "grace_ms", settings.mShutdownGrace, milliseconds(0), kHour);
     settings.mShutdownDeadline = shutdown.Milliseconds(
--- a/Source/Filters/RouterThread.cxx
+++ b/Source/Filters/RouterThread.cxx
@@ -90,6 +90,8 @@
     QEventLoop().exec();
     mLoop.reset();
   }));
+  // The name shows in the process table; benchmarks find the threads by it.
+  mThread->setObjectName("router-" + QString::number(mIndex));
   mThread->start();
   ready.acquire();
 }
--- a/Source/Platform/HostListClient.cxx
+++ b/Source/Platform/HostListClient.cxx
@@ -76,6 +76,11 @@
   host.mFailureDomain = FailureDomain(domain.value());
   host.mLeaving = leaving.value();
   host.mChecksFencing = fencing.value();
+  for (const auto& name : aLabels.value(QLatin1String("model"))
+                            .toString()
+                            .split(',', Qt::SkipEmptyParts)) {
+    host.mModels.emplace_back(name.trimmed().toStdString());
+  }
   return host;
 }
 
@@ -83,7 +88,7 @@
 ParseGroup(const QJsonObject& aGroup, HostList& aList)
 {
   static const std::map<std::string, ListedRole> sRoles = {
-    { "entry", ListedRole::kEntry },
+    { "router", ListedRole::kRouter },
     { "engine", ListedRole::kEngine },
     { "service", ListedRole::kService },
   };
--- a/Source/Platform/HostListClient.h
+++ b/Source/Platform/HostListClient.h
@@ -19,7 +19,7 @@
 /// What a listed host does.
 enum class ListedRole : std::uint8_t
 {
-  kEntry,
+  kRouter,
   kEngine,
   kService,
 };
@@ -28,13 +28,15 @@
 struct ListedHost
 {
   std::string mId;
-  ListedRole mRole = ListedRole::kEntry;
+  ListedRole mRole = ListedRole::kRouter;
   /// Numeric IP address and port.
   std::string mAddress;
   FailureDomain mFailureDomain;
   /// The platform is about to take the host away.
   bool mLeaving = false;
   bool mChecksFencing = false;
+  /// Models of an engine, or the services that a service host offers.
+  std::vector<ModelName> mModels;
 
   bool operator==(const ListedHost&) const = default;
 };
@@ -48,9 +50,10 @@
 };
 
 /// Parses Prometheus HTTP SD JSON: an array of {"targets": ["ip:port", ...],
-/// "labels": {...}}. Labels: "host" (id), "role" ("entry", "engine",
+/// "labels": {...}}. Labels: "host" (id), "role" ("router", "engine",
 /// "service"), "failure_domain", "state" ("live", "leaving"; default "live"),
-/// "checks_fencing" ("true", "false"; default "false"). A group with several
+/// "checks_fencing" ("true", "false"; default "false"), "model" (names, with
+/// commas between them; default none). A group with several
 /// targets has no "host" label; its ids are the addresses. Entries of other
 /// roles are skipped. A malformed entry refuses the whole list, because a list
 /// without that host would show it as gone.
--- a/Source/Programs/Router.cxx
+++ b/Source/Programs/Router.cxx
@@ -3,6 +3,7 @@
 #include "Core/Log.h"
 #include "Core/Program.h"
 #include "Filters/ActionGateway.h"
+#include "Filters/ControlLink.h"
 #include "Filters/DispatcherFactory.h"
 
 #include <QCoreApplication>
@@ -39,29 +40,67 @@
                                                   : kExitFailure;
 }
 
+/// \brief Settings of the whole process.
+struct ProcessSettings
+{
+  RouterSettings mRouter;
+  /// Without it, calls that run at most once are refused.
+  std::optional<KeyValueSettings> mKeyValue;
+  /// Where ragwort-control listens; without it, the bootstrap view stays.
+  std::optional<Endpoint> mControl;
+};
+
+ProcessSettings
+ReadSettings(SettingsSection& aRoot)
+{
+  ProcessSettings settings;
+  settings.mRouter = ReadRouterSettings(aRoot);
+  if (aRoot.Has("key_value")) {
+    settings.mKeyValue = KeyValueSettings::Read(aRoot.Section("key_value"));
+  }
+  if (aRoot.Has("control")) {
+    settings.mControl = aRoot.RequiredEndpoint("control");
+  }
+  return settings;
+}
+
+std::unique_ptr<ActionGateway>
+MakeActions(const ProcessSettings& aSettings,
+            ServiceTransport::ReadView aReadView)
+{
+  if (!aSettings.mKeyValue) {
+    return nullptr;
+  }
+  return std::make_unique<ActionGateway>(
+    aSettings.mRouter, *aSettings.mKeyValue, std::move(aReadView));
+}
+
 int
-Serve(int& argc,
-      char** argv,
-      const RouterSettings& aSettings,
-      const std::optional<KeyValueSettings>& aKeyValue)
+Serve(int& argc, char** argv, const ProcessSettings& aSettings)
 {
   // A caller or target that has gone shows as a write error.
   std::signal(SIGPIPE, SIG_IGN);
   const int signals = OpenSignals();
   QCoreApplication app(argc, argv);
   const RcuReaderThread reader;
-  std::unique_ptr<ActionGateway> actions;
-  if (aKeyValue) {
-    actions = std::make_unique<ActionGateway>(
-      aSettings.mHost, *aKeyValue, ActionSettings{});
-  }
-  auto router = Router::Start(aSettings,
-                              MakeDispatcher(aSettings.mDispatcher),
-                              actions ? actions->Hook() : ActionHook());
+  QtScheduler scheduler;
+  Router* running = nullptr;
+  const auto actions =
+    MakeActions(aSettings, [&running] { return running->View(); });
+  auto router =
+    Router::Start(aSettings.mRouter,
+                  MakeRouterDispatcher(aSettings.mRouter, scheduler),
+                  actions ? actions->Hook() : ActionHook());
   if (!router) {
     kLog.Error(router.error().mMessage);
     return ToExitCode(router.error());
   }
+  running = router.value().get();
+  std::unique_ptr<ControlLink> link;
+  if (aSettings.mControl) {
+    link = std::make_unique<ControlLink>(
+      scheduler, *running, aSettings.mRouter, *aSettings.mControl);
+  }
   QSocketNotifier notifier(signals, QSocketNotifier::Read);
   QObject::connect(&notifier, &QSocketNotifier::activated, &app, [&] {
     signalfd_siginfo info{};
@@ -70,9 +109,7 @@
     }
   });
   const int code = QCoreApplication::exec();
-  if (actions) {
-    actions->DropRoutes();
-  }
+  link.reset();
   router.value().reset();
   close(signals);
   return code;
@@ -87,17 +124,8 @@
   spec.mName = "ragwort-router";
   spec.mDescription = "Serves callers' requests on an entry host";
   spec.mLoad = [&](SettingsSection& aRoot) -> ProgramSpec::Run {
-    const auto settings = ReadRouterSettings(aRoot);
-    if (!MakeDispatcher(settings.mDispatcher)) {
-      aRoot.Reject("dispatcher", "expected one of " + DispatcherNames());
-    }
-    std::optional<KeyValueSettings> keyValue;
-    if (aRoot.Has("key_value")) {
-      keyValue = KeyValueSettings::Read(aRoot.Section("key_value"));
-    }
-    return [&argc, argv, settings, keyValue] {
-      return Serve(argc, argv, settings, keyValue);
-    };
+    const auto settings = ReadSettings(aRoot);
+    return [&argc, argv, settings] { return Serve(argc, argv, settings); };
   };
   return RunProgram(argc, argv, spec);
 }
