Control: Block the stop signals before any thread exists

SIGTERM ended the process at once instead of starting the graceful stop: a thread of a library had been created before the signals were blocked, and did not block them.

--- a/Source/Programs/Control.cxx
+++ b/Source/Programs/Control.cxx
@@ -34,14 +34,22 @@
   StopSignals(const StopSignals&) = delete;
   StopSignals& operator=(const StopSignals&) = delete;
 
-private:
-  static int Open()
+  /// To be called before any thread exists: a thread of a library that does
+  /// not block the signals would end the process.
+  static sigset_t Block()
   {
     sigset_t signals;
     sigemptyset(&signals);
     sigaddset(&signals, SIGTERM);
     sigaddset(&signals, SIGINT);
     pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+    return signals;
+  }
+
+private:
+  static int Open()
+  {
+    const auto signals = Block();
     return signalfd(-1, &signals, SFD_NONBLOCK | SFD_CLOEXEC);
   }
 
@@ -74,6 +82,7 @@
 main(int argc, char** argv)
 {
   using namespace ragwortdeck;
+  StopSignals::Block();
   ProgramSpec spec;
   spec.mName = "ragwort-control";
   spec.mDescription = "Control process of an entry host";
