--- a/Source/Controllers/TableEditor.h
+++ b/Source/Controllers/TableEditor.h
@@ -14,9 +14,9 @@
   /// Empty to delete the whole row; mValue is then ignored.
   std::string mColumn;
   /// Nothing unsets the cell.
-  std::optional<std::string> mValue;
+  std::optional<std::string> mValue = std::nullopt;
   /// When mGuarded, the value that the cell must have now.
-  std::optional<std::string> mExpected;
+  std::optional<std::string> mExpected = std::nullopt;
   bool mGuarded = false;
 };
 
