--- a/Source/Controllers/TableKeys.h
+++ b/Source/Controllers/TableKeys.h
@@ -5,6 +5,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <tuple>
 
 namespace ragwortdeck {
 
@@ -14,7 +15,11 @@
   Sheet mSheet = Sheet::kTeams;
   std::string mRow;
 
-  auto operator<=>(const RowAddress&) const = default;
+  bool operator==(const RowAddress&) const = default;
+  bool operator<(const RowAddress& aOther) const
+  {
+    return std::tie(mSheet, mRow) < std::tie(aOther.mSheet, aOther.mRow);
+  }
 };
 
 /// \brief Key names of the operators' state in the key-value service; section 8
--- a/Tests/Controllers/TableEditorPropertyTest.cxx
+++ b/Tests/Controllers/TableEditorPropertyTest.cxx
@@ -6,6 +6,7 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 #include <rapidcheck.h>
+#include <utility>
 
 namespace ragwortdeck {
 
@@ -93,7 +94,7 @@
       process.mEditor.reset();
       process.mProcess->Kill();
       // Its requests still travel.
-      mDead.push_back(std::move(process));
+      mDead.push_back(std::exchange(process, Process{}));
     }
     process.mProcess = std::make_unique<SimulatedProcess>(mScheduler);
     process.mStore =
--- a/Tests/Controllers/TableEditorTest.cxx
+++ b/Tests/Controllers/TableEditorTest.cxx
@@ -270,6 +270,7 @@
   void TestImportInParts()
   {
     std::vector<CellEdit> cells;
+    cells.reserve(250);
     for (int n = 0; n < 250; ++n) {
       cells.push_back(
         Set({ Sheet::kTeams, "t" + std::to_string(n) }, "share", "7"));
@@ -308,6 +309,7 @@
     });
     Section("long cells split by size as well", [&] {
       std::vector<CellEdit> models;
+      models.reserve(100);
       for (int n = 0; n < 100; ++n) {
         models.push_back(
           Set({ Sheet::kModels, "m" + std::to_string(n) }, "adapters", "a"));
