--- a/Benchmarks/Policy/PolicyRun.cxx
+++ b/Benchmarks/Policy/PolicyRun.cxx
@@ -11,6 +11,7 @@
 /// A gap between tokens counts as a stall beyond this.
 constexpr Duration kStallThreshold{ std::chrono::milliseconds(250) };
 constexpr Duration kTickPeriod{ std::chrono::milliseconds(20) };
+constexpr Duration kCreditPeriod{ std::chrono::milliseconds(200) };
 constexpr Duration kReportPeriod{ std::chrono::seconds(1) };
 /// The host list shows a dead engine this late.
 constexpr Duration kHostListLag{ std::chrono::seconds(3) };
@@ -19,16 +20,14 @@
 constexpr Duration kLinkDelay{ std::chrono::milliseconds(1) };
 constexpr std::uint32_t kTokenBatch = 16;
 constexpr std::uint32_t kMaxAttempts = 4;
-/// A team counts as backlogged when it has this many waiting requests per
-/// host throughout a window.
-constexpr std::uint32_t kBackloggedPerHost = 2;
-/// The host, not the engine, is the limit of one share window's accuracy.
+/// Shares mean something only between teams.
 constexpr std::uint32_t kLeastBackloggedTeams = 2;
 
+/// The number at the end of "entry-03" or "engine-07".
 std::uint32_t
-EngineIndex(const TargetId& aTarget)
+NumberOf(const std::string& aText)
 {
-  const auto& text = aTarget.Value();
+  const auto& text = aText;
   return static_cast<std::uint32_t>(
     std::stoul(text.substr(text.rfind('-') + 1)));
 }
@@ -44,6 +43,9 @@
   , mArrivalsEnd(mStart + aCase.mArrivals)
   , mRequests(mWorkload.Arrivals().size())
 {
+  for (auto& team : mTeams) {
+    team.mWaiting.resize(mCase.mHosts);
+  }
   MakeEngines();
   MakeRouters(aPolicy, aSeed);
   ScheduleArrivals();
@@ -75,9 +77,16 @@
     Router router;
     router.mDispatcher = MakeDispatcher(config, mScheduler);
     router.mDispatcher->OnView(view);
+    router.mOwner = std::make_unique<CreditOwner>(config.mHost, mScheduler);
+    router.mOwner->OnView(view);
     mRouters.push_back(std::move(router));
     const Duration phase(i * kTickPeriod.count() / mCase.mHosts);
     Every(kTickPeriod, phase, [this, i] { mRouters[i].mDispatcher->Tick(); });
+    const Duration creditPhase(i * kCreditPeriod.count() / mCase.mHosts);
+    Every(kCreditPeriod, creditPhase, [this, i] { ExchangeCredits(i); });
+    Every(std::chrono::seconds(1), creditPhase, [this, i] {
+      mRouters[i].mOwner->Tick();
+    });
   }
 }
 
@@ -123,6 +132,7 @@
   const auto view = mWorkload.View(Workload::EngineAt(0));
   for (auto& router : mRouters) {
     router.mDispatcher->OnView(view);
+    router.mOwner->OnView(view);
   }
 }
 
@@ -145,7 +155,7 @@
   request.mTraits = mWorkload.TraitsOf(*request.mArrival);
   ++mResult.mRequests;
   ++mOpen;
-  ++mTeams[request.mArrival->mTeam].mWaiting;
+  ++mTeams[request.mArrival->mTeam].mWaiting[request.mArrival->mHost];
   mScheduler.Post(request.mTraits.mDeadline - mScheduler.Now(),
                   [this, aIndex] { OnDeadline(aIndex); });
   Submit(aIndex);
@@ -179,7 +189,7 @@
   if (target == nullptr) {
     ++mResult.mRefused;
     request.mPhase = Phase::kEnded;
-    --mTeams[request.mArrival->mTeam].mWaiting;
+    CountStopsWaiting(*request.mArrival);
     --mOpen;
     return;
   }
@@ -187,7 +197,7 @@
     mResult.mShortWait =
       std::max(mResult.mShortWait, mScheduler.Now() - request.mArrival->mTime);
   }
-  request.mEngine = EngineIndex(*target);
+  request.mEngine = NumberOf(target->Value());
   request.mPhase = Phase::kRunning;
   ++mTeams[request.mArrival->mTeam].mStreams;
   Start(aIndex);
@@ -219,7 +229,7 @@
       !DispatcherOf(request).TryRetry(request.mTraits)) {
     ++mResult.mLost;
     request.mPhase = Phase::kEnded;
-    --mTeams[request.mArrival->mTeam].mWaiting;
+    CountStopsWaiting(*request.mArrival);
     --mOpen;
     return;
   }
@@ -231,7 +241,9 @@
 {
   auto& request = mRequests[aIndex];
   auto& team = mTeams[request.mArrival->mTeam];
-  team.mWaiting -= request.mTokens == 0 ? 1 : 0;
+  if (request.mTokens == 0) {
+    CountStopsWaiting(*request.mArrival);
+  }
   if (request.mPhase == Phase::kRunning) {
     --team.mStreams;
     DispatcherOf(request).OnFinished(request.mTicket, aOutcome);
@@ -256,14 +268,21 @@
   End(aIndex, DispatchOutcome::kCancelled);
 }
 
+void
+PolicyRun::CountStopsWaiting(const Arrival& aArrival)
+{
+  auto& team = mTeams[aArrival.mTeam];
+  if (--team.mWaiting[aArrival.mHost] == 0) {
+    team.mIsBacklogged = false;
+  }
+}
+
 void
 PolicyRun::OnFirstToken(Request& aRequest)
 {
   const auto& arrival = *aRequest.mArrival;
-  auto& team = mTeams[arrival.mTeam];
-  --team.mWaiting;
-  team.mServiceInWindow += mWorkload.Service(arrival);
-  team.mLeastWaiting = std::min(team.mLeastWaiting, team.mWaiting);
+  CountStopsWaiting(arrival);
+  mTeams[arrival.mTeam].mServiceInWindow += mWorkload.Service(arrival);
   auto& times =
     arrival.mShort ? mResult.mFirstTokenShort : mResult.mFirstTokenLong;
   times.Add(mScheduler.Now() - arrival.mTime);
@@ -323,11 +342,44 @@
     mScheduler.Post(mCase.mReportLag, [this, i, report] {
       for (auto& router : mRouters) {
         router.mDispatcher->OnLoadReport(Workload::EngineAt(i), report);
+        router.mOwner->OnLoadReport(Workload::EngineAt(i), report);
       }
     });
   }
 }
 
+bool
+PolicyRun::OwnersReachable() const
+{
+  const auto since = mScheduler.Now() - mStart;
+  return !mCase.mOwnersUnreachable || since < mCase.mArrivals / 3 ||
+         since >= mCase.mArrivals * 2 / 3;
+}
+
+void
+PolicyRun::ExchangeCredits(std::uint32_t aHost)
+{
+  for (const auto& request :
+       mRouters[aHost].mDispatcher->CollectCreditRequests()) {
+    mScheduler.Post(kLinkDelay,
+                    [this, aHost, request] { CarryRequest(aHost, request); });
+  }
+}
+
+void
+PolicyRun::CarryRequest(std::uint32_t aHost, const CreditRequest& aRequest)
+{
+  if (!OwnersReachable()) {
+    return;
+  }
+  mResult.mCreditMessages += 2;
+  const auto owner = NumberOf(aRequest.mOwner.Value());
+  const auto grant = mRouters[owner].mOwner->OnRequest(aRequest);
+  mScheduler.Post(kLinkDelay, [this, aHost, grant] {
+    mRouters[aHost].mDispatcher->OnCredits(grant);
+  });
+}
+
 void
 PolicyRun::CloseSecond()
 {
@@ -356,7 +408,7 @@
   std::uint32_t shares = 0;
   std::vector<std::uint32_t> backlogged;
   for (std::uint32_t i = 0; i < Workload::kTeams; ++i) {
-    if (mTeams[i].mLeastWaiting >= kBackloggedPerHost * mCase.mHosts) {
+    if (mTeams[i].mIsBacklogged) {
       backlogged.push_back(i);
       service += mTeams[i].mServiceInWindow;
       shares += Workload::ShareOf(i);
@@ -375,7 +427,9 @@
   }
   for (auto& team : mTeams) {
     team.mServiceInWindow = 0.0;
-    team.mLeastWaiting = team.mWaiting;
+    team.mIsBacklogged =
+      std::find(team.mWaiting.begin(), team.mWaiting.end(), 0U) ==
+      team.mWaiting.end();
   }
 }
 
--- a/Benchmarks/Policy/PolicyRun.h
+++ b/Benchmarks/Policy/PolicyRun.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "Policy/CreditOwner.h"
 #include "Policy/Dispatcher.h"
 #include "Policy/EngineFake.h"
 #include "Policy/PolicyBenchmark.h"
@@ -48,17 +49,18 @@
   {
     std::uint32_t mStreams = 0;
     std::uint64_t mTokensThisSecond = 0;
-    /// Requests without a first token.
-    std::uint32_t mWaiting = 0;
-    /// Least mWaiting of the current share window.
-    std::uint32_t mLeastWaiting = 0;
+    /// Requests without a first token, per host.
+    std::vector<std::uint32_t> mWaiting;
+    /// False when some host had none waiting in the current share window.
+    bool mIsBacklogged = false;
     double mServiceInWindow = 0.0;
   };
 
   struct Router
   {
     std::unique_ptr<Dispatcher> mDispatcher;
-    bool mWakeUp = false;
+    /// The control process of the same host.
+    std::unique_ptr<CreditOwner> mOwner;
   };
 
   void MakeEngines();
@@ -76,10 +78,12 @@
   void OnDeadline(std::size_t aIndex);
   void OnToken(std::size_t aIndex);
   void OnFirstToken(Request& aRequest);
+  void CountStopsWaiting(const Arrival& aArrival);
   void OnComplete(std::size_t aIndex);
   void OnLost(std::size_t aIndex);
   void ReportLoads();
   void ExchangeCredits(std::uint32_t aHost);
+  void CarryRequest(std::uint32_t aHost, const CreditRequest& aRequest);
   void CloseSecond();
   void CloseShareWindow();
   void RecordDownEngine();
--- a/Source/Controllers/TableEditor.h
+++ b/Source/Controllers/TableEditor.h
@@ -68,9 +68,13 @@
   void Import(std::vector<CellEdit> aCells,
               std::function<void(ImportReport)> aDone);
   /// Sets or, with nothing, clears the mark of a host: "joining" or "leaving".
+  /// A joining mark may carry what the host list would say of the host: "role",
+  /// "address", "failure_domain", "models" (separated by ';') and
+  /// "checks_fencing".
   void MarkHost(const std::string& aHost,
-                const std::optional<std::string>& aMark,
-                Done aDone);
+                const std::optional<std::string>& aState,
+                Done aDone,
+                const std::map<std::string, std::string>& aDetails = {});
 
   /// Groups cells by row into parts for Import; each part is within the limits
   /// of one transaction.
@@ -98,19 +102,25 @@
   std::vector<std::weak_ptr<KeyedEdit>> mEdits;
 };
 
-/// \brief An operator's mark of a host, as stored under /ragwort/hosts/<host>.
-struct HostMark
+/// \brief An operator's mark of a host with its author, as stored under
+/// /ragwort/hosts/<host>; TableWatcher reads the same JSON for the hosts.
+struct StoredHostMark
 {
   std::string mHost;
   bool mLeaving = false;
+  std::map<std::string, std::string> mDetails;
   std::string mAuthor;
   WallTime mTime;
 
-  bool operator==(const HostMark&) const = default;
+  bool operator==(const StoredHostMark&) const = default;
 };
 
+/// "leaving", or "joining address=127.0.0.1:9001 role=engine".
+std::string
+ToText(const StoredHostMark& aMark);
+
 /// The mark in a key of TableKeys::kHostPrefix.
-Result<HostMark>
+Result<StoredHostMark>
 HostMarkFromKey(const KeyValue& aKey);
 
 } // namespace ragwortdeck
--- a/Tests/Controllers/TableEditorTest.cxx
+++ b/Tests/Controllers/TableEditorTest.cxx
@@ -2,6 +2,7 @@
 #include "Controllers/EditHistory.h"
 #include "Controllers/TableCodec.h"
 #include "Controllers/TableFromKeys.h"
+#include "Controllers/TableWatcher.h"
 #include "Support/Section.h"
 #include "Support/SimulatedProcess.h"
 #include "Support/VirtualScheduler.h"
@@ -333,6 +334,23 @@
     mScheduler->Advance(5s);
     CPPUNIT_ASSERT((mAnn->LastState() == State::kAccepted) !=
                    (mBob->LastState() == State::kAccepted));
+    Section("the watcher of the hosts reads the same mark", [&] {
+      mAnn->mEditor.MarkHost("engine-9",
+                             "joining",
+                             mAnn->Keep(),
+                             { { "role", "engine" },
+                               { "address", "127.0.0.1:9009" },
+                               { "models", "a;b" },
+                               { "checks_fencing", "true" } });
+      mScheduler->Advance(1s);
+      const auto marks = TableWatcher::ParseMarks(
+        mService->mState.Range(TableKeys::Host("engine-9"), false).mKeys);
+      const auto& joining = marks.at("engine-9");
+      CPPUNIT_ASSERT(joining.mKind == HostMarkKind::kJoining);
+      CPPUNIT_ASSERT_EQUAL(std::string("127.0.0.1:9009"), joining.mAddress);
+      CPPUNIT_ASSERT_EQUAL(std::size_t(2), joining.mModels.size());
+      CPPUNIT_ASSERT(joining.mChecksFencing);
+    });
     mAnn->mEditor.MarkHost("entry-1", "asleep", mAnn->Keep());
     mScheduler->Advance(1s);
     CPPUNIT_ASSERT(mAnn->LastState() == State::kInvalid);
