Events: Replace the fences of the ring by ordered words

Cause: the thread sanitizer does not support fences, so a build with RAGWORT_THREAD_SANITIZE could neither compile nor check the ring; clang-tidy rejected three spots. Ruled out: a lock per ring, which the request path must not take. Change: the words of a slot are released and acquired one by one.

--- a/Source/Ctl/TableCommands.cxx
+++ b/Source/Ctl/TableCommands.cxx
@@ -68,7 +68,7 @@
 std::optional<RowAddress>
 ParseAddress(CtlContext& aContext, const std::string& aWord)
 {
-  const auto row = TableKeys::ParseRow(TableKeys::kTablePrefix + aWord);
+  auto row = TableKeys::ParseRow(TableKeys::kTablePrefix + aWord);
   if (!row) {
     aContext.mErr << "ragwort-ctl: expected SHEET/ROW with sheet teams, kinds "
                      "or models, found '"
--- a/Source/Events/EventRecorder.cxx
+++ b/Source/Events/EventRecorder.cxx
@@ -67,7 +67,9 @@
 
 /// \brief Ring of one writing thread. Each slot is protected by a sequence
 /// lock; its words are atomic, so that a reader that overlaps the writer sees
-/// a changed sequence and not undefined behaviour.
+/// a changed sequence and not undefined behaviour. Words are released and
+/// acquired one by one instead of by fences, which the thread sanitizer does
+/// not support.
 class EventRecorder::Ring
 {
 public:
@@ -83,9 +85,8 @@
     Words words{};
     std::memcpy(words.data(), &aSlot, sizeof aSlot);
     cell.mSequence.store(2 * n + 1, std::memory_order_relaxed);
-    std::atomic_thread_fence(std::memory_order_release);
     for (std::size_t word = 0; word < kWords; ++word) {
-      cell.mWords[word].store(words[word], std::memory_order_relaxed);
+      cell.mWords[word].store(words[word], std::memory_order_release);
     }
     cell.mSequence.store(2 * n + 2, std::memory_order_release);
     mWritten.store(n + 1, std::memory_order_release);
@@ -129,9 +130,8 @@
     }
     Words words;
     for (std::size_t word = 0; word < kWords; ++word) {
-      words[word] = cell.mWords[word].load(std::memory_order_relaxed);
+      words[word] = cell.mWords[word].load(std::memory_order_acquire);
     }
-    std::atomic_thread_fence(std::memory_order_acquire);
     if (cell.mSequence.load(std::memory_order_relaxed) != expected) {
       return false;
     }
--- a/Source/Events/HybridClock.h
+++ b/Source/Events/HybridClock.h
@@ -3,7 +3,6 @@
 #include "Core/Clock.h"
 
 #include <atomic>
-#include <compare>
 #include <cstdint>
 #include <functional>
 #include <msgpack.hpp>
@@ -24,7 +23,9 @@
   WallTime Wall() const;
   std::uint32_t Counter() const;
 
-  auto operator<=>(const HybridTime&) const = default;
+  bool operator==(const HybridTime&) const = default;
+  bool operator<(HybridTime aOther) const { return mPacked < aOther.mPacked; }
+  bool operator>(HybridTime aOther) const { return aOther < *this; }
   MSGPACK_DEFINE_MAP(mPacked)
 };
 
--- a/Tests/Events/EventsTest.cxx
+++ b/Tests/Events/EventsTest.cxx
@@ -135,6 +135,7 @@
     EventRecorder recorder(HostId("entry-1"), "router", clock, { 16, 4 });
     std::atomic<bool> stop{ false };
     std::vector<std::thread> writers;
+    writers.reserve(2);
     for (int writer = 0; writer < 2; ++writer) {
       writers.emplace_back([&] {
         EventFields fields;
