--- a/Source/Controllers/TableEditor.cxx
+++ b/Source/Controllers/TableEditor.cxx
@@ -2,6 +2,7 @@
 
 #include "Controllers/TableCodec.h"
 
+#include <QJsonArray>
 #include <QJsonDocument>
 #include <QJsonObject>
 #include <algorithm>
@@ -248,15 +249,108 @@
   return bytes;
 }
 
+// Members of a joining mark besides its state.
+const std::set<std::string>&
+DetailNames()
+{
+  static const std::set<std::string> sNames = {
+    "role", "address", "failure_domain", "models", "checks_fencing"
+  };
+  return sNames;
+}
+
+std::string
+MarkJson(const StoredHostMark& aMark)
+{
+  const auto millis = std::chrono::floor<std::chrono::milliseconds>(aMark.mTime)
+                        .time_since_epoch();
+  QJsonObject object{ { "state", aMark.mLeaving ? "leaving" : "joining" },
+                      { "author", QString::fromStdString(aMark.mAuthor) },
+                      { "time_ms", static_cast<qint64>(millis.count()) } };
+  for (const auto& [name, value] : aMark.mDetails) {
+    const auto key = QString::fromStdString(name);
+    if (name == "models") {
+      QJsonArray models;
+      for (const auto& model : SplitNames(value)) {
+        models.append(QString::fromStdString(model));
+      }
+      object.insert(key, models);
+    } else if (name == "checks_fencing") {
+      object.insert(key, value == "true");
+    } else {
+      object.insert(key, QString::fromStdString(value));
+    }
+  }
+  return QJsonDocument(object).toJson(QJsonDocument::Compact).toStdString();
+}
+
+std::map<std::string, std::string>
+DetailsOf(const QJsonObject& aObject)
+{
+  std::map<std::string, std::string> details;
+  for (const auto& name : DetailNames()) {
+    const auto value = aObject.value(QString::fromStdString(name));
+    if (value.isString() && !value.toString().isEmpty()) {
+      details[name] = value.toString().toStdString();
+    } else if (value.isArray()) {
+      std::vector<std::string> names;
+      for (const auto& entry : value.toArray()) {
+        names.push_back(entry.toString().toStdString());
+      }
+      details[name] = JoinNames(names);
+    } else if (value.toBool()) {
+      details[name] = "true";
+    }
+  }
+  return details;
+}
+
+// What is wrong with a mark; empty when nothing is.
+std::string
+CheckMark(const std::string& aHost,
+          const std::optional<std::string>& aState,
+          const std::map<std::string, std::string>& aDetails)
+{
+  // Host names follow the rules of team names.
+  if (!TableSchema::CheckRowName(Sheet::kTeams, aHost) ||
+      (aState && *aState != "joining" && *aState != "leaving")) {
+    return "host '" + aHost + "', mark '" + aState.value_or("") +
+           "': expected a host name and joining or leaving";
+  }
+  for (const auto& [name, value] : aDetails) {
+    const auto reject = [&](const char* aExpected) {
+      return "host " + aHost + ", " + name + ": value '" + value +
+             "': expected " + aExpected;
+    };
+    if (aState != "joining" || DetailNames().count(name) == 0) {
+      return reject("role, address, failure_domain, models or "
+                    "checks_fencing, for a joining mark");
+    }
+    if (name == "role" && value != "entry" && value != "engine" &&
+        value != "service") {
+      return reject("entry, engine or service");
+    }
+    if (name == "checks_fencing" && value != "true") {
+      return reject("true, or nothing for false");
+    }
+    if (name == "models" &&
+        !TableSchema::CheckCell(Sheet::kModels, aHost, "adapters", value)) {
+      return reject("different names separated by ';'");
+    }
+    if (value.empty() || value.size() > TableSchema::kMaxTextBytes * 8) {
+      return reject("a short text");
+    }
+  }
+  return {};
+}
+
 /// \brief Plans a change of one host mark.
 class MarkPlanner
 {
 public:
-  MarkPlanner(std::string aHost, Cell aMark, const EditRecord& aRecord)
+  MarkPlanner(std::string aHost, std::optional<StoredHostMark> aMark)
     : mHost(std::move(aHost))
     , mMark(std::move(aMark))
-    , mAuthor(aRecord.mAuthor)
-    , mTime(aRecord.mTime)
   {
   }
 
@@ -268,41 +362,28 @@
     if (it != aKeys.end()) {
       const auto mark = HostMarkFromKey(it->second);
       // An unreadable mark is replaced rather than kept for ever.
-      current =
-        mark ? (mark.value().mLeaving ? "leaving" : "joining") : "unreadable";
+      current = mark ? ToText(mark.value()) : "unreadable";
     }
     if (!mHasBase) {
       mBase = current;
       mHasBase = true;
     }
+    const auto wanted = mMark ? Cell{ ToText(*mMark) } : Cell{};
     EditPlan plan;
-    const CellDelta delta{ kHostsSheet, mHost, kMarkColumn, mBase, mMark };
+    const CellDelta delta{ kHostsSheet, mHost, kMarkColumn, mBase, wanted };
     if (current != mBase) {
       plan.mConflicts.push_back({ delta, current });
-    } else if (current != mMark) {
+    } else if (current != wanted) {
       plan.mDeltas.push_back(delta);
-      plan.mWrites.push_back(mMark ? KeyOperation::Put(key, Value())
+      plan.mWrites.push_back(mMark ? KeyOperation::Put(key, MarkJson(*mMark))
                                    : KeyOperation::Delete(key));
     }
     return plan;
   }
 
 private:
-  std::string Value() const
-  {
-    const auto millis =
-      std::chrono::floor<std::chrono::milliseconds>(mTime).time_since_epoch();
-    const QJsonObject object{ { "mark", QString::fromStdString(*mMark) },
-                              { "author", QString::fromStdString(mAuthor) },
-                              { "time_ms",
-                                static_cast<qint64>(millis.count()) } };
-    return QJsonDocument(object).toJson(QJsonDocument::Compact).toStdString();
-  }
-
   std::string mHost;
-  Cell mMark;
-  std::string mAuthor;
-  WallTime mTime;
+  std::optional<StoredHostMark> mMark;
   Cell mBase;
   bool mHasBase = false;
 };
@@ -502,47 +583,63 @@
 
 void
 TableEditor::MarkHost(const std::string& aHost,
-                      const std::optional<std::string>& aMark,
-                      Done aDone)
+                      const std::optional<std::string>& aState,
+                      Done aDone,
+                      const std::map<std::string, std::string>& aDetails)
 {
-  // Host names follow the rules of team names.
-  if (!TableSchema::CheckRowName(Sheet::kTeams, aHost) ||
-      (aMark && *aMark != "joining" && *aMark != "leaving")) {
-    Refuse("host '" + aHost + "', mark '" + aMark.value_or("") +
-             "': expected a host name and joining or leaving",
-           std::move(aDone));
+  auto problem = CheckMark(aHost, aState, aDetails);
+  if (!problem.empty()) {
+    Refuse(std::move(problem), std::move(aDone));
     return;
   }
   KeyedEdit::Spec spec;
   spec.mRecord = NewRecord();
   spec.mKeys = { TableKeys::Host(aHost) };
   spec.mWritesHead = false;
-  const auto planner =
-    std::make_shared<MarkPlanner>(aHost, aMark, spec.mRecord);
+  std::optional<StoredHostMark> mark;
+  if (aState) {
+    mark = StoredHostMark{ aHost,
+                           *aState == "leaving",
+                           aDetails,
+                           spec.mRecord.mAuthor,
+                           spec.mRecord.mTime };
+  }
+  const auto planner = std::make_shared<MarkPlanner>(aHost, std::move(mark));
   spec.mPlan = [planner](const KeyedEdit::Keys& aKeys) {
     return planner->Plan(aKeys);
   };
   Start(std::move(spec), std::move(aDone));
 }
 
-Result<HostMark>
+std::string
+ToText(const StoredHostMark& aMark)
+{
+  std::string text = aMark.mLeaving ? "leaving" : "joining";
+  for (const auto& [name, value] : aMark.mDetails) {
+    text += " " + name + "=" + value;
+  }
+  return text;
+}
+
+Result<StoredHostMark>
 HostMarkFromKey(const KeyValue& aKey)
 {
   const std::string prefix = TableKeys::kHostPrefix;
   const auto object =
     QJsonDocument::fromJson(QByteArray::fromStdString(aKey.mValue)).object();
-  const auto mark = object["mark"].toString();
+  const auto state = object["state"].toString();
   if (aKey.mKey.size() <= prefix.size() ||
       aKey.mKey.compare(0, prefix.size(), prefix) != 0 ||
-      (mark != "joining" && mark != "leaving")) {
+      (state != "joining" && state != "leaving")) {
     return Failure(ErrorCode::kCorrupt,
                    aKey.mKey + ": expected a mark, joining or leaving");
   }
-  return HostMark{ aKey.mKey.substr(prefix.size()),
-                   mark == "leaving",
-                   object["author"].toString().toStdString(),
-                   WallTime(std::chrono::milliseconds(
-                     object["time_ms"].toInteger())) };
+  return StoredHostMark{ aKey.mKey.substr(prefix.size()),
+                         state == "leaving",
+                         DetailsOf(object),
+                         object["author"].toString().toStdString(),
+                         WallTime(std::chrono::milliseconds(
+                           object["time_ms"].toInteger())) };
 }
 
 } // namespace ragwortdeck
