--- a/Benchmarks/StreamRelayBenchmark.cxx
+++ b/Benchmarks/StreamRelayBenchmark.cxx
@@ -202,9 +202,11 @@
         .value());
     const auto address = "127.0.0.1:" + std::to_string(router->Port());
     for (std::uint32_t n = 0; n < kRounds; ++n) {
-      AddSamples(straight, RunToEnd(MakePlan(engine.Address(), 2 * n)));
+      AddSamples(straight,
+                 RunToEnd(MakePlan(engine.Address(), std::uint64_t(2) * n)));
       const auto before = RouterNanos();
-      AddSamples(relayed, RunToEnd(MakePlan(address, 2 * n + 1)));
+      AddSamples(relayed,
+                 RunToEnd(MakePlan(address, std::uint64_t(2) * n + 1)));
       nanos += RouterNanos() - before;
     }
   }
@@ -222,7 +224,8 @@
   counters["cpu_us_per_token"] =
     nanos / kNanosPerMicro / double(relayed.mTokens);
   counters["completed"] = double(relayed.mCompleted);
-  if (!relayed.IsClean() || relayed.mCompleted != kRounds * kStreams) {
+  if (!relayed.IsClean() ||
+      relayed.mCompleted != std::uint64_t(kRounds) * kStreams) {
     const auto error = "not all answers were whole:\n" + relayed.ToText();
     aState.SkipWithError(error.c_str());
   }
