--- a/Source/Control/ControlCore.cxx
+++ b/Source/Control/ControlCore.cxx
@@ -46,7 +46,10 @@
                      },
                      aMessage);
                  },
-                  [this](const MemberRecord&) { OnMemberChange(); },
+                  [this](const MemberRecord& aRecord) {
+                    mHooks.mOnMember(aRecord);
+                    OnMemberChange();
+                  },
                   [this] { return mSpread.Versions(); },
                   [this](const HostId& aFrom, const SharedVersions& aVersions) {
                     mSpread.OnVersions(aFrom, aVersions);
@@ -63,7 +66,10 @@
            [&](const auto& aBody) { SendTo(aTo, PeerMessage::Of(aBody)); },
            aMessage);
        },
-        [this](const std::shared_ptr<const Table>&) { SchedulePublish(); },
+        [this](const std::shared_ptr<const Table>& aTable) {
+          mHooks.mOnTable(aTable->mVersion);
+          SchedulePublish();
+        },
         [this](const HostMarks& aMarks) { mDirectory.OnMarks(aMarks); } })
   , mLoads(
       aScheduler,
--- a/Source/Control/ControlCore.h
+++ b/Source/Control/ControlCore.h
@@ -42,6 +42,9 @@
     std::function<void(const std::vector<HostId>&)> mOnLiveHosts;
     /// See LoadSharing::Hooks.
     std::function<void(const Target&, LoadSharing::ReportCallback)> mPollLoad;
+    /// A member changed, or the table did; for the time line.
+    std::function<void(const MemberRecord&)> mOnMember;
+    std::function<void(std::uint64_t aVersion)> mOnTable;
     /// Messages of other types, from other hosts.
     std::function<void(const PeerMessage&)> mOnOther;
   };
--- a/Source/Control/ControlProcess.cxx
+++ b/Source/Control/ControlProcess.cxx
@@ -36,12 +36,15 @@
   : mScheduler(aScheduler)
   , mSettings(std::move(aSettings))
   , mRandom(RandomSource::SystemSeed())
-  , mIdentity{ mSettings.mCore.mHost,
-               StartMillis(aScheduler),
-               std::make_shared<const KeyRing>(
-                 KeyRing::Create(mSettings.mKeys).value()),
-               {},
-               {} }
+  , mHybridClock([&aScheduler] { return aScheduler.WallNow(); })
+  , mRecorder(mSettings.mCore.mHost, "control", mHybridClock, {})
+  , mIdentity{
+    mSettings.mCore.mHost,
+    StartMillis(aScheduler),
+    std::make_shared<const KeyRing>(KeyRing::Create(mSettings.mKeys).value()),
+    [this] { return mHybridClock.Tick().mPacked; },
+    [this](std::uint64_t aTime) { mHybridClock.Observe({ aTime }); }
+  }
   , mStore(aScheduler, mSettings.mKeyValue)
   , mPoller(mSettings.mLoadTimeout)
   , mLiveHosts{ mSettings.mCore.mHost }
@@ -80,9 +83,7 @@
     mSettings.mRouterListen,
     { [](const UsageMessage&) {},
       [this](PeerConnection&, const PeerMessage& aMessage) {
-        if (!mCredits->OnRouterMessage(aMessage)) {
-          sLog.Warning("message " + aMessage.mType + " of the router ignored");
-        }
+        TakeRouterMessage(aMessage);
       },
       [this] {
         mRouterLink->Send(PeerMessage::Of(LiveHostsMessage{ mLiveHosts }));
@@ -111,6 +112,15 @@
         mCore->SendTo(aTo, aMessage);
       },
       [this](const PeerMessage& aMessage) { mRouterLink->Send(aMessage); } });
+  mEvents = std::make_unique<EventAnswers>(
+    mScheduler,
+    mRecorder,
+    EventAnswers::Hooks{
+      [this](const HostId& aTo, const PeerMessage& aMessage) {
+        mNetwork->Send(aTo, {}, aMessage);
+      },
+      [this](const PeerMessage& aMessage) { mRouterLink->Send(aMessage); },
+      [this] { return mRouterLink->RouterCount(); } });
   mCore = std::make_unique<ControlCore>(
     mScheduler,
     mRandom.Split(),
@@ -132,7 +142,12 @@
       [this](const Target& aTarget, LoadSharing::ReportCallback aCallback) {
         mPoller.Poll(aTarget, std::move(aCallback));
       },
+      [this](const MemberRecord& aRecord) { RecordMember(aRecord); },
+      [this](std::uint64_t aVersion) { RecordTable(aVersion); },
       [this](const PeerMessage& aMessage) { TakeOther(aMessage); } });
+  EventFields started;
+  started.mType = EventType::kProcessStarted;
+  mRecorder.Record(started);
   mCore->Start();
   if (mSettings.mHostList) {
     mHostList = std::make_unique<HostListClient>(
@@ -154,12 +169,47 @@
   }
 }
 
+void
+ControlProcess::TakeRouterMessage(const PeerMessage& aMessage)
+{
+  if (aMessage.Is<EventsMessage>()) {
+    mEvents->OnRouterEvents(aMessage);
+    return;
+  }
+  if (!mCredits->OnRouterMessage(aMessage)) {
+    sLog.Warning("message " + aMessage.mType + " of the router ignored");
+  }
+}
+
+void
+ControlProcess::RecordMember(const MemberRecord& aRecord)
+{
+  const auto detail = aRecord.mHost.Value() + " " + ToText(aRecord.mState);
+  EventFields fields;
+  fields.mType = EventType::kMemberChanged;
+  fields.mDetail = detail;
+  mRecorder.Record(fields);
+}
+
+void
+ControlProcess::RecordTable(std::uint64_t aVersion)
+{
+  EventFields fields;
+  fields.mType = EventType::kTableApplied;
+  fields.mTableVersion = aVersion;
+  mRecorder.Record(fields);
+}
+
 void
 ControlProcess::TakeOther(const PeerMessage& aMessage)
 {
   if (mCredits->OnPeerMessage(aMessage)) {
     return;
   }
+  if (aMessage.Is<EventsFetchMessage>()) {
+    mEvents->OnFetch(aMessage);
+    return;
+  }
   if (aMessage.Is<StatusFetchMessage>()) {
     mNetwork->Send(aMessage.mFrom, {}, PeerMessage::Of(Status()));
     return;
@@ -215,6 +265,9 @@
     return;
   }
   sLog.Info("graceful stop");
+  EventFields stopping;
+  stopping.mType = EventType::kProcessStopping;
+  mRecorder.Record(stopping);
   mCore->Leave();
   mStopping = true;
   mRouterLink->Drain(mSettings.mDrainLimit, [this, aDone] {
--- a/Source/Control/ControlProcess.h
+++ b/Source/Control/ControlProcess.h
@@ -2,6 +2,7 @@
 
 #include "Control/ControlSettings.h"
 #include "Control/CreditRouting.h"
+#include "Control/EventAnswers.h"
 #include "Control/TargetPoller.h"
 #include "Peer/PeerNetwork.h"
 #include "Peer/RouterLinkServer.h"
@@ -32,17 +33,23 @@
   void StartCore();
   void TakePeerMessage(const PeerMessage& aMessage);
   void TakeOther(const PeerMessage& aMessage);
+  void RecordMember(const MemberRecord& aRecord);
+  void RecordTable(std::uint64_t aVersion);
+  void TakeRouterMessage(const PeerMessage& aMessage);
   void TakeHostList(const HostList& aList);
   void Publish(const SiteView& aView);
 
   Scheduler& mScheduler;
   ControlSettings mSettings;
   RandomSource mRandom;
+  HybridClock mHybridClock;
+  EventRecorder mRecorder;
   PeerIdentity mIdentity;
   HttpKeyValueStore mStore;
   TargetPoller mPoller;
   std::unique_ptr<CreditRouting> mCredits;
   std::unique_ptr<ControlCore> mCore;
+  std::unique_ptr<EventAnswers> mEvents;
   std::unique_ptr<PeerNetwork> mNetwork;
   std::unique_ptr<RouterLinkServer> mRouterLink;
   std::unique_ptr<HostListClient> mHostList;
--- a/Source/Ctl/CtlCommands.cxx
+++ b/Source/Ctl/CtlCommands.cxx
@@ -24,7 +24,8 @@
   for (auto group : { TableCommands(),
                       HostCommands(),
                       TeamKeyCommands(),
-                      TimelineCommands() }) {
+                      TimelineCommands(),
+                      PeerCommands() }) {
     std::move(group.begin(), group.end(), std::back_inserter(all));
   }
   return all;
--- a/Source/Ctl/CtlCommands.h
+++ b/Source/Ctl/CtlCommands.h
@@ -20,4 +20,8 @@
 std::vector<CtlCommand>
 TimelineCommands();
 
+/// "status", "events"; answered by control processes.
+std::vector<CtlCommand>
+PeerCommands();
+
 } // namespace ragwortdeck
--- a/Tests/Control/Fabric.cxx
+++ b/Tests/Control/Fabric.cxx
@@ -104,6 +104,8 @@
                std::chrono::milliseconds(2),
                [this, id = aTarget.mId, aCallback] { aCallback(mLoadOf(id)); });
            },
+           [](const MemberRecord&) {},
+           [](std::uint64_t) {},
            [](const PeerMessage&) {} };
 }
 
