--- a/Tests/Platform/HostListClientTest.cxx
+++ b/Tests/Platform/HostListClientTest.cxx
@@ -16,10 +16,10 @@
 namespace {
 
 constexpr const char* kTwoHosts =
-  R"([{"targets":["127.0.0.1:7001"],"labels":{"host":"entry-1","role":"entry",)"
+  R"([{"targets":["127.0.0.1:7001"],"labels":{"host":"entry-1","role":"router",)"
   R"("failure_domain":"nadia"}},{"targets":["127.0.0.1:9001"],"labels":{)"
   R"("host":"engine-1","role":"engine","failure_domain":"hooghly",)"
-  R"("state":"leaving","checks_fencing":"true"}}])";
+  R"("state":"leaving","checks_fencing":"true","model":"drafts, checks"}}])";
 
 } // namespace
 
@@ -44,7 +44,8 @@
                              "127.0.0.1:9001",
                              FailureDomain("hooghly"),
                              true,
-                             true };
+                             true,
+                             { ModelName("drafts"), ModelName("checks") } };
     CPPUNIT_ASSERT(list.mHosts[1] == engine);
     const auto refuses = [](const char* aLabels) {
       const auto json =
