Policy: Count lapsed credits until the holder is heard again

Ruled out: waiting for a request after the lapse, since a delayed one may state an older use. Change: a grant of a hard limit counts until the host acknowledges a later one; a host answers once more after its grant shrank to nothing.

--- a/Source/Policy/CreditHolder.cxx
+++ b/Source/Policy/CreditHolder.cxx
@@ -84,15 +84,16 @@
   std::map<HostId, SentRequest> sent;
   const auto now = mClock.Now();
   for (Slot slot = 0; slot < mLimits.size(); ++slot) {
-    const auto& limit = mLimits[slot];
+    auto& limit = mLimits[slot];
     if (limit.mSplit.mCap == 0 || limit.mOwner.IsEmpty()) {
       continue;
     }
     // A team that this host neither serves nor expects costs no message.
     if (IsHardLimit(limit.mKey.mKind) && limit.mUse + limit.mWanted == 0 &&
-        limit.mGranted == 0) {
+        limit.mGranted == 0 && !limit.mOwesAnswer) {
       continue;
     }
+    limit.mOwesAnswer = false;
     requests[limit.mOwner].mAsks.push_back({ limit.mKey.mKind,
                                              limit.mKey.mName,
                                              limit.mUse,
@@ -130,6 +131,7 @@
     return;
   }
   auto& limit = mLimits[it->second];
+  limit.mOwesAnswer = limit.mGranted > 0;
   limit.mGranted = aShare.mAmount;
   limit.mLapses = aSent.mTime + Duration(aGrant.mLifetimeMicros);
   const auto stated = aSent.mUse.find(it->second);
--- a/Source/Policy/CreditHolder.h
+++ b/Source/Policy/CreditHolder.h
@@ -57,6 +57,8 @@
     std::uint64_t mGranted = 0;
     std::uint64_t mOthers = 0;
     MonotonicTime mLapses{};
+    /// The owner counts a larger grant until it hears from this host again.
+    bool mOwesAnswer = false;
   };
 
   struct SentRequest
--- a/Source/Policy/CreditOwner.cxx
+++ b/Source/Policy/CreditOwner.cxx
@@ -8,6 +8,8 @@
 namespace {
 
 constexpr Duration kLifetime{ kCreditLifetimeMicros };
+/// Unacknowledged grants kept per host and limit.
+constexpr std::size_t kMaxGrants = 16;
 /// Long answers keep at least the rest, whatever the kinds sheet reserves.
 constexpr double kMaxReservedPart = 0.5;
 /// A host that could not get its minimum goes first while it keeps asking.
@@ -111,6 +113,18 @@
   return SplitCap(aKey.mKind, CapOf(aKey), mView->mEntryHosts.size());
 }
 
+void
+CreditOwner::MergeOldest(HostState& aHost)
+{
+  auto& grants = aHost.mGrants;
+  if (grants.size() <= kMaxGrants) {
+    return;
+  }
+  // The merged record lives as long and counts as much as either.
+  grants[1].mAmount = std::max(grants[0].mAmount, grants[1].mAmount);
+  grants.pop_front();
+}
+
 CreditOwner::Limit&
 CreditOwner::LimitOf(const CreditKey& aKey)
 {
@@ -124,11 +138,17 @@
 void
 CreditOwner::Recount(Limit& aLimit,
                      HostState& aHost,
-                     std::uint64_t aStatic) const
+                     std::uint64_t aStatic,
+                     bool aIsHard) const
 {
   const auto now = mClock.Now();
-  std::erase_if(aHost.mGrants,
-                [now](const auto& aOne) { return aOne.mExpires <= now; });
+  // A host may have used a grant of a hard limit up before it lapsed, and its
+  // streams outlast it. So such a grant counts until the host acknowledges a
+  // later one, which also states its use; that of an earlier process lapses.
+  std::erase_if(aHost.mGrants, [&](const auto& aOne) {
+    const bool isCurrent = aOne.mIncarnation == aHost.mIncarnation;
+    return aOne.mExpires <= now && !(aIsHard && isCurrent);
+  });
   // Running streams are never stopped for a cap, so use beyond the static
   // share counts even when its grant has lapsed.
   auto reserved = aHost.mInUse > aStatic ? aHost.mInUse - aStatic : 0;
@@ -223,18 +243,21 @@
   }
   // The grants of an earlier process stay counted until they lapse.
   host.mIncarnation = aRequest.mIncarnation;
-  const auto acknowledged = aRequest.mAcknowledged;
-  std::erase_if(host.mGrants, [acknowledged](const auto& aOne) {
-    return aOne.mSequence < acknowledged;
+  std::erase_if(host.mGrants, [&aRequest](const auto& aOne) {
+    return aOne.mIncarnation == aRequest.mIncarnation &&
+           aOne.mSequence < aRequest.mAcknowledged;
   });
   limit.mUseSum += aAsk.mInUse - host.mInUse;
   host.mInUse = aAsk.mInUse;
-  Recount(limit, host, split.mStaticPerHost);
+  Recount(limit, host, split.mStaticPerHost, IsHardLimit(key.mKind));
   const auto amount = Decide(limit, host, aRequest, aAsk, split);
   host.mSequence = aRequest.mSequence;
-  host.mGrants.push_back(
-    { aRequest.mSequence, amount, mClock.Now() + kLifetime });
-  Recount(limit, host, split.mStaticPerHost);
+  host.mGrants.push_back({ aRequest.mSequence,
+                           aRequest.mIncarnation,
+                           amount,
+                           mClock.Now() + kLifetime });
+  MergeOldest(host);
+  Recount(limit, host, split.mStaticPerHost, IsHardLimit(key.mKind));
   return CreditShare{ aAsk.mKind, aAsk.mName, amount, limit.mUseSum };
 }
 
@@ -270,8 +293,10 @@
       auto& host = it->second;
       const bool isGone =
         std::find(mLive.begin(), mLive.end(), it->first) == mLive.end();
-      Recount(limit, host, split.mStaticPerHost);
-      if (isGone && host.mGrants.empty()) {
+      Recount(limit, host, split.mStaticPerHost, IsHardLimit(key.mKind));
+      const bool hasLapsed =
+        host.mGrants.empty() || host.mGrants.back().mExpires <= mClock.Now();
+      if (isGone && hasLapsed) {
         limit.mReservedSum -= host.mReserved;
         limit.mUseSum -= host.mInUse;
         it = limit.mHosts.erase(it);
--- a/Source/Policy/CreditOwner.h
+++ b/Source/Policy/CreditOwner.h
@@ -38,6 +38,7 @@
   struct GrantRecord
   {
     std::uint64_t mSequence = 0;
+    std::uint64_t mIncarnation = 0;
     std::uint64_t mAmount = 0;
     MonotonicTime mExpires;
   };
@@ -87,7 +88,11 @@
                            const CreditRequest& aRequest,
                            const CreditAsk& aAsk,
                            std::uint64_t aFree) const;
-  void Recount(Limit& aLimit, HostState& aHost, std::uint64_t aStatic) const;
+  static void MergeOldest(HostState& aHost);
+  void Recount(Limit& aLimit,
+               HostState& aHost,
+               std::uint64_t aStatic,
+               bool aIsHard) const;
 
   HostId mHost;
   const Clock& mClock;
