--- a/Source/Policy/FairQueue.cxx
+++ b/Source/Policy/FairQueue.cxx
@@ -117,7 +117,7 @@
 QueuedRequest
 FairQueue::Pop(KindClass aLane)
 {
-  const auto request = *Head(aLane);
+  auto request = *Head(aLane);
   const auto team = mReady[LaneOf(aLane)].begin()->second;
   auto& state = mTeams[team];
   mVirtualTime = std::max(mVirtualTime, state.mFinish);
