--- a/Source/Control/ControlCore.cxx
+++ b/Source/Control/ControlCore.cxx
@@ -201,6 +201,7 @@
   mSpread.OnMembers(members);
   mLoads.OnMembers(members);
   std::vector<HostId> hosts;
+  hosts.reserve(members.size());
   for (const auto& member : members) {
     hosts.push_back(member.mHost);
   }
--- a/Source/Control/LoadSharing.cxx
+++ b/Source/Control/LoadSharing.cxx
@@ -35,6 +35,7 @@
     }
   }
   std::vector<HostId> pollers;
+  pollers.reserve(best.size());
   for (auto& [score, host] : best) {
     pollers.push_back(std::move(host));
   }
