Controllers: Read host marks as the editor writes them

Cause: the editor writes a mark's kind as 'state', the watcher read it as 'mark', so that no operator's mark reached a host. Ruled out: a lost edit; the key holds the mark. Change: the watcher reads 'state'; its tests use the editor's format. Conclusion: leaving marks take effect.

--- a/Source/Controllers/TableWatcher.cxx
+++ b/Source/Controllers/TableWatcher.cxx
@@ -42,7 +42,7 @@
     return object.value(QLatin1String(aName)).toString().toStdString();
   };
   MarkedHost mark;
-  const auto kind = text("mark");
+  const auto kind = text("state");
   if (kind == "joining") {
     mark.mKind = MarkKind::kJoining;
   } else if (kind != "leaving") {
--- a/Tests/Control/TableSpreadTest.cxx
+++ b/Tests/Control/TableSpreadTest.cxx
@@ -209,8 +209,8 @@
         });
     };
     const auto mark = [&] {
-      fabric.Mark("engine-1", R"({"mark":"leaving"})");
-      fabric.Mark("entry-5", R"({"mark":"leaving"})");
+      fabric.Mark("engine-1", R"({"state":"leaving"})");
+      fabric.Mark("entry-5", R"({"state":"leaving"})");
     };
     Duration worst{};
     for (int n = 0; n < 20; ++n) {
--- a/Tests/Controllers/TableEditorTest.cxx
+++ b/Tests/Controllers/TableEditorTest.cxx
@@ -346,7 +346,7 @@
       const auto marks = TableWatcher::ParseMarks(
         mService->mState.Range(TableKeys::Host("engine-9"), false).mKeys);
       const auto& joining = marks.at("engine-9");
-      CPPUNIT_ASSERT(joining.mKind == HostMarkKind::kJoining);
+      CPPUNIT_ASSERT(joining.mKind == MarkKind::kJoining);
       CPPUNIT_ASSERT_EQUAL(std::string("127.0.0.1:9009"), joining.mAddress);
       CPPUNIT_ASSERT_EQUAL(std::size_t(2), joining.mModels.size());
       CPPUNIT_ASSERT(joining.mChecksFencing);
--- a/Tests/Controllers/TableWatcherTest.cxx
+++ b/Tests/Controllers/TableWatcherTest.cxx
@@ -77,7 +77,7 @@
     mTime.Advance(1s);
     CPPUNIT_ASSERT_EQUAL(std::uint64_t(1), mReplica.Version());
     Put(TableKeys::kHead, "2");
-    Put(TableKeys::Host("engine-1"), R"({"mark":"leaving"})");
+    Put(TableKeys::Host("engine-1"), R"({"state":"leaving"})");
     mTime.Advance(6s);
     CPPUNIT_ASSERT_EQUAL(std::uint64_t(2), mReplica.Version());
     CPPUNIT_ASSERT_EQUAL(std::size_t(1), mMarks.mMarks.size());
@@ -108,9 +108,9 @@
   {
     const std::string prefix = TableKeys::kHostPrefix;
     const auto marks = TableWatcher::ParseMarks(
-      { { prefix + "a", R"({"mark":"leaving"})", 1, 1, 1, 0 },
+      { { prefix + "a", R"({"state":"leaving"})", 1, 1, 1, 0 },
         { prefix + "b", "[]", 1, 1, 1, 0 },
-        { prefix + "c", R"({"mark":"asleep"})", 1, 1, 1, 0 },
+        { prefix + "c", R"({"state":"asleep"})", 1, 1, 1, 0 },
         { prefix + "d", "\xff{", 1, 1, 1, 0 } });
     CPPUNIT_ASSERT_EQUAL(std::size_t(1), marks.size());
     CPPUNIT_ASSERT(marks.at("a").mKind == MarkKind::kLeaving);
