Scenarios: Run scripted faults against real processes

Cause: the promises were tested per part only; nothing ran kills, freezes, cut links, outages and operator races against the whole system. Ruled out: a grammar of our own; YAML nodes carry the line for each error. Findings of clang-tidy in control and the table editor are fixed.

--- a/Source/Control/TargetPoller.cxx
+++ b/Source/Control/TargetPoller.cxx
@@ -48,7 +48,8 @@
 }
 
 void
-TargetPoller::Poll(const Target& aTarget, LoadSharing::ReportCallback aCallback)
+TargetPoller::Poll(const Target& aTarget,
+                   const LoadSharing::ReportCallback& aCallback)
 {
   QNetworkRequest request(
     QUrl(QString::fromStdString("http://" + aTarget.mAddress + "/load")));
--- a/Source/Control/TargetPoller.h
+++ b/Source/Control/TargetPoller.h
@@ -18,7 +18,8 @@
   explicit TargetPoller(std::chrono::milliseconds aTimeout);
 
   /// GET http://<target>/load; calls back once, within the timeout.
-  void Poll(const Target& aTarget, LoadSharing::ReportCallback aCallback);
+  void Poll(const Target& aTarget,
+            const LoadSharing::ReportCallback& aCallback);
 
 private:
   std::chrono::milliseconds mTimeout;
--- a/Source/Controllers/TableEditor.cxx
+++ b/Source/Controllers/TableEditor.cxx
@@ -317,10 +317,13 @@
     return "host '" + aHost + "', mark '" + aState.value_or("") +
            "': expected a host name and joining or leaving";
   }
-  for (const auto& [name, value] : aDetails) {
+  for (const auto& entry : aDetails) {
+    const auto& name = entry.first;
+    const auto& value = entry.second;
     const auto reject = [&](const char* aExpected) {
-      return "host " + aHost + ", " + name + ": value '" + value +
-             "': expected " + aExpected;
+      std::string text = "host ";
+      text.append(aHost).append(", ").append(name).append(": value '");
+      return text.append(value).append("': expected ").append(aExpected);
     };
     if (aState != "joining" || DetailNames().count(name) == 0) {
       return reject("role, address, failure_domain, models or "
@@ -616,7 +619,7 @@
 {
   std::string text = aMark.mLeaving ? "leaving" : "joining";
   for (const auto& [name, value] : aMark.mDetails) {
-    text += " " + name + "=" + value;
+    text.append(" ").append(name).append("=").append(value);
   }
   return text;
 }
--- a/Utilities/Site/site_processes.py
+++ b/Utilities/Site/site_processes.py
@@ -23,7 +23,7 @@
 SERVICE_PORT = 19100
 KEY_VALUE = "127.0.4.1:12379"
 HOST_LIST = "127.0.4.2:18500"
-WEIGHTS = "127.0.4.3:18600"
+LINK_CONTROL = "127.0.5.1:17900"
 # Ends a hang; no verdict depends on it.
 START_TIMEOUT_S = 60
 STOP_TIMEOUT_S = 60
@@ -137,7 +137,7 @@
     def __init__(self, entry_hosts=3, engines=3, services=1,
                  failure_domains=("nadia", "hooghly", "bardhaman"),
                  engine=None, router=None, control=None, ctl=None,
-                 build="build"):
+                 links=(), build="build"):
         self.build = pathlib.Path(build)
         self.folder = pathlib.Path(tempfile.mkdtemp(prefix="ragwort-site-"))
         self.domains = list(failure_domains)
@@ -148,6 +148,8 @@
         self.router_settings = router or {}
         self.control_settings = control or {}
         self.ctl_settings = ctl or {}
+        # Targets that routers reach through a link with faults.
+        self.links = list(links)
         self.processes = {}
 
     def add_targets(self):
@@ -182,10 +184,24 @@
                 if role == "service":
                     labels["model"] = "orders"
                 address = (self.router_address(name) if role == "router"
-                           else self.target_address(name))
+                           else self.link_of(name))
                 entries.append({"targets": [address], "labels": labels})
         return entries
 
+    def link_of(self, target):
+        """Where routers reach the target: its link, or the target itself."""
+        if target in self.links:
+            return f"127.0.5.2:{LINK_PORT + self.links.index(target)}"
+        return self.target_address(target)
+
+    def add_links(self):
+        if self.links:
+            self.add("links", "ragwort-standin-link", {
+                "control": LINK_CONTROL,
+                "links": [{"name": name, "listen": self.link_of(name),
+                           "target": self.target_address(name)}
+                          for name in self.links]})
+
     def control_address(self, host):
         return (f"127.0.1.{self.entry_hosts.index(host) + 1}:{CONTROL_PORT}")
 
@@ -232,6 +248,7 @@
     def build_all(self):
         self.add_platform()
         self.add_targets()
+        self.add_links()
         self.add_controls()
         self.add_routers()
         self.write_ctl_settings()
@@ -287,14 +304,21 @@
         self.processes[name] = Process(self, name, binary, settings)
         return self.processes[name]
 
-    def ctl(self, *arguments, expect=(0,)):
-        """Runs ragwort-ctl and returns its standard output."""
-        run = subprocess.run(
+    def run_ctl(self, arguments):
+        return subprocess.run(
             [self.binary("ragwort-ctl"), "--config",
              str(self.folder / "ctl.yaml"), *arguments],
             capture_output=True, text=True, stdin=subprocess.DEVNULL,
             timeout=START_TIMEOUT_S, check=False)
-        if run.returncode not in expect:
+
+    def ctl_code(self, *arguments):
+        """Runs ragwort-ctl and returns its exit code."""
+        return self.run_ctl(arguments).returncode
+
+    def ctl(self, *arguments):
+        """Runs ragwort-ctl and returns its standard output."""
+        run = self.run_ctl(arguments)
+        if run.returncode != 0:
             raise SiteError(f"ragwort-ctl {' '.join(arguments)}: exit code "
                             f"{run.returncode}: {run.stderr.strip()}")
         return run.stdout
