Policy: Serve first requests without waiting for credits

Cause: the scenario control-killed hung. When membership was heard before the host list, the dispatcher divided static shares by the hosts of that earlier view, that is by none, and kept a static share of 0; with control dead, a capped team was never served. Apart from that, an owner began its waiting time of one credit lifetime only at the first request for a limit. Ruled out: targets marked down and unknown engine memory; look-ups were served and the router polls engines itself. Change: each view replaces the number of listed hosts; an owner counts its ownership from the membership change that began it. Conclusion: control faults no longer stop capped teams.

--- a/Source/Policy/CreditDispatcher.cxx
+++ b/Source/Policy/CreditDispatcher.cxx
@@ -127,9 +127,10 @@
 CreditDispatcher::OnView(std::shared_ptr<const SiteView> aView)
 {
   mView = std::move(aView);
-  if (!mHasMembership) {
-    mHolder.SetHosts(mView->mEntryHosts.size(), mView->mEntryHosts);
-  }
+  // The number of listed hosts divides the static shares, and comes from the
+  // view even when membership was heard first.
+  mHolder.SetHosts(mView->mEntryHosts.size(),
+                   mHasMembership ? mLiveHosts : mView->mEntryHosts);
   ReadTargets();
   ReadTeams();
   ReadModels();
@@ -749,6 +750,7 @@
 CreditDispatcher::OnOwners(const std::vector<HostId>& aLiveHosts)
 {
   mHasMembership = true;
+  mLiveHosts = aLiveHosts;
   const auto listed = mView ? mView->mEntryHosts.size() : aLiveHosts.size();
   mHolder.SetHosts(listed, aLiveHosts);
 }
--- a/Source/Policy/CreditDispatcher.h
+++ b/Source/Policy/CreditDispatcher.h
@@ -150,6 +150,7 @@
   const Clock& mClock;
   std::shared_ptr<const SiteView> mView;
   bool mHasMembership = false;
+  std::vector<HostId> mLiveHosts;
   CreditHolder mHolder;
   LengthEstimator mLengths;
   MemoryLedger mLedger;
--- a/Source/Policy/CreditOwner.cxx
+++ b/Source/Policy/CreditOwner.cxx
@@ -39,8 +39,7 @@
   }
   mReservedPart = std::min(mReservedPart, kMaxReservedPart);
   if (!mHasMembership && mLive != mView->mEntryHosts) {
-    mLive = mView->mEntryHosts;
-    DropForeignLimits();
+    SetLive(mView->mEntryHosts);
   }
 }
 
@@ -57,10 +56,37 @@
 CreditOwner::OnOwners(const std::vector<HostId>& aLiveHosts)
 {
   mHasMembership = true;
-  mLive = aLiveHosts;
+  SetLive(aLiveHosts);
+}
+
+void
+CreditOwner::SetLive(const std::vector<HostId>& aLive)
+{
+  if (mLive == aLive) {
+    return;
+  }
+  const auto now = mClock.Now();
+  mLive = aLive;
+  mLiveHistory.emplace_back(now, aLive);
+  // An entry counts until the next one begins.
+  while (mLiveHistory.size() > 1 && mLiveHistory[1].first + kLifetime <= now) {
+    mLiveHistory.pop_front();
+  }
   DropForeignLimits();
 }
 
+MonotonicTime
+CreditOwner::OwnedSince(const std::string& aName) const
+{
+  auto since = mClock.Now();
+  for (auto it = mLiveHistory.rbegin();
+       it != mLiveHistory.rend() && CreditOwnerOf(aName, it->second) == mHost;
+       ++it) {
+    since = it->first;
+  }
+  return since;
+}
+
 void
 CreditOwner::OnLoadReport(const TargetId& aTarget, const LoadReport& aReport)
 {
@@ -130,7 +156,9 @@
 {
   const auto [it, isNew] = mLimits.try_emplace(aKey);
   if (isNew) {
-    it->second.mOwnedSince = mClock.Now();
+    // Not the time of the first request: the waiting time would then delay
+    // the first question of every team.
+    it->second.mOwnedSince = OwnedSince(aKey.mName);
   }
   return it->second;
 }
--- a/Source/Policy/CreditOwner.h
+++ b/Source/Policy/CreditOwner.h
@@ -9,6 +9,7 @@
 #include <memory>
 #include <optional>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 namespace ragwortdeck {
@@ -76,6 +77,10 @@
   std::uint64_t CapOf(const CreditKey& aKey) const;
   Limit& LimitOf(const CreditKey& aKey);
   void DropForeignLimits();
+  /// Replaces the live hosts and remembers since when they are.
+  void SetLive(const std::vector<HostId>& aLive);
+  /// Since when this host has owned the limit without a break.
+  MonotonicTime OwnedSince(const std::string& aName) const;
   std::optional<CreditShare> Answer(const CreditRequest& aRequest,
                                     const CreditAsk& aAsk);
   std::uint64_t Decide(Limit& aLimit,
@@ -99,6 +104,9 @@
   MonotonicTime mStarted;
   std::shared_ptr<const SiteView> mView;
   std::vector<HostId> mLive;
+  /// Live hosts and since when, oldest first; the last one is mLive. Reaches
+  /// back one credit lifetime.
+  std::deque<std::pair<MonotonicTime, std::vector<HostId>>> mLiveHistory;
   bool mHasMembership = false;
   /// Sum of the kinds' reserved parts of engine memory.
   double mReservedPart = 0.0;
--- a/Utilities/Site/run_scenario.py
+++ b/Utilities/Site/run_scenario.py
@@ -270,7 +270,8 @@
         problems.append(output.strip())
     events = time_line(run) if problems else ""
     problems += run.site.stop()
-    print(f"{'passed' if not problems else 'FAILED'}  {scenario.name}")
+    print(f"{'passed' if not problems else 'FAILED'}  {scenario.name}",
+          flush=True)
     if problems:
         for problem in problems:
             print("  " + problem.replace("\n", "\n  "))
