--- a/Utilities/Site/run_scenario.py
+++ b/Utilities/Site/run_scenario.py
@@ -176,7 +176,7 @@
 
     def table_version(self, host):
         text = self.site.ctl("status", self.site.control_address(host))
-        return int(text.split("table version ")[1].split()[0])
+        return int(text.split("table version ")[1].split()[0].rstrip(","))
 
     def do_pause(self, ms):
         time.sleep(ms / 1000)
