--- a/Tests/PolicyCases/PolicyCasesTest.cxx
+++ b/Tests/PolicyCases/PolicyCasesTest.cxx
@@ -88,8 +88,8 @@
 {
   if (!aIsGood) {
     std::ostringstream text;
-    text << aName << ": " << aMeasure << " " << aOurs << ", best baseline "
-         << aBest << "\n";
+    text << aName << ": " << aMeasure << " " << aOurs << ", bound " << aBest
+         << "\n";
     aFailures += text.str();
   }
 }
@@ -104,6 +104,7 @@
   CPPUNIT_TEST(TestStallAndPreemptions);
   CPPUNIT_TEST(TestTail);
   CPPUNIT_TEST(TestAnswersInTime);
+  CPPUNIT_TEST(TestShareError);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -162,6 +163,32 @@
     }
     CPPUNIT_ASSERT_EQUAL(std::string(), failures);
   }
+
+  /// Backlogged teams get their shares within 5% in every 10 s window.
+  void TestShareError()
+  {
+    constexpr double kMaxShareError = 0.05;
+    std::string failures;
+    for (const auto engines : { 14U, 12U }) {
+      for (const auto& benchmarkCase : BenchmarkCases(engines)) {
+        if (benchmarkCase.mName != "shares") {
+          continue;
+        }
+        for (const std::uint64_t seed : { 11U, 101U }) {
+          const auto ours = RunPolicyBenchmark(
+            benchmarkCase, DispatchPolicy::kCredits, { seed });
+          Judge(failures,
+                std::to_string(engines) + " engines, seed " +
+                  std::to_string(seed),
+                "share error",
+                ours.mShareErrorMax,
+                kMaxShareError,
+                ours.mShareErrorMax < kMaxShareError);
+        }
+      }
+    }
+    CPPUNIT_ASSERT_EQUAL(std::string(), failures);
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(PolicyCasesTest);
