Filters, Events: Mend what the sanitizers found

Cause: the first sanitizer run of the whole tree failed twice. A cancel request owned itself through its own callback, so that one in flight at shutdown was never freed (63 KB in the test run); and an event without a text copied from a null pointer. Ruled out: leaks inside libcurl; its handles belong to those transfers. Change: the cancel queue owns its transfers; texts are copied by range. Figures: before, test-filters and test-events failed under the sanitizers; after, both pass, as do Core, Invariants, Links, Peer and Platform.

--- a/Source/Events/EventRecorder.cxx
+++ b/Source/Events/EventRecorder.cxx
@@ -20,7 +20,7 @@
   void Assign(std::string_view aText)
   {
     const auto n = std::min(aText.size(), N);
-    std::memcpy(mBytes.data(), aText.data(), n);
+    std::copy_n(aText.begin(), n, mBytes.begin());
     mSize = static_cast<std::uint8_t>(n);
   }
   std::string Text() const { return { mBytes.data(), mSize }; }
--- a/Source/Filters/RouterThread.cxx
+++ b/Source/Filters/RouterThread.cxx
@@ -5,6 +5,7 @@
 #include <QEventLoop>
 #include <QSemaphore>
 #include <QTcpServer>
+#include <list>
 #include <map>
 
 namespace ragwortdeck {
@@ -111,7 +112,12 @@
 CancelQueue::Send
 RouterThread::MakeCancelSend(CurlMulti& aCurl)
 {
-  return [this, &aCurl](const Attempt& aAttempt, CancelQueue::OnReply aReply) {
+  using Transfers = std::list<std::unique_ptr<CurlTransfer>>;
+  // The queue owns the transfers. A callback holds them weakly, since a
+  // transfer that owned itself would outlive the thread.
+  const auto transfers = std::make_shared<Transfers>();
+  return [this, &aCurl, transfers](const Attempt& aAttempt,
+                                   CancelQueue::OnReply aReply) {
     const auto view = mShared.mView.Read();
     const auto found = view->mTargets.find(aAttempt.mTarget);
     if (found == view->mTargets.end()) {
@@ -124,13 +130,17 @@
       ResponseUrl(found->second.mAddress, aAttempt.mEngineId) + "/cancel";
     call.mConnectTimeout = kCancelTimeout;
     call.mTimeout = kCancelTimeout;
-    // Owns the transfer until its end.
-    const auto transfer = std::make_shared<std::unique_ptr<CurlTransfer>>();
-    *transfer = aCurl.Start(
+    const auto entry = transfers->emplace(transfers->end());
+    const std::weak_ptr<Transfers> weak = transfers;
+    *entry = aCurl.Start(
       call,
       [](std::string_view) {},
-      [transfer, aReply](const TransferEnd& aEnd) {
-        const auto keep = std::move(*transfer);
+      [weak, entry, aReply](const TransferEnd& aEnd) {
+        std::unique_ptr<CurlTransfer> keep;
+        if (const auto owner = weak.lock()) {
+          keep = std::move(*entry);
+          owner->erase(entry);
+        }
         aReply(ToCancelReply(aEnd));
       });
   };
