Filters: Pass the cancel reply by reference

Cause: clang-tidy refuses a callback copied for each cancel. Ruled out: a move, because two callbacks share it.

--- a/Source/Filters/RouterThread.cxx
+++ b/Source/Filters/RouterThread.cxx
@@ -117,7 +117,7 @@
   // transfer that owned itself would outlive the thread.
   const auto transfers = std::make_shared<Transfers>();
   return [this, &aCurl, transfers](const Attempt& aAttempt,
-                                   CancelQueue::OnReply aReply) {
+                                   const CancelQueue::OnReply& aReply) {
     const auto view = mShared.mView.Read();
     const auto found = view->mTargets.find(aAttempt.mTarget);
     if (found == view->mTargets.end()) {
