Core: Share the key settings and the stop signals

Cause: three programs read and checked the list of keys by code of their own, and router and control each delivered SIGTERM through a copy of the same descriptor code. Only control blocked the signals before any thread exists; the router did so after its logging was set up. Ruled out: leaving the router as it was; the fault that control had, an end at once by a library's thread, belongs to the shared piece. Change: Core/KeySettings and Core/StopSignals serve all of them. Control's message for bad keys gains the words 'expected valid keys' of the other two. An unused argument of the site script is gone. Conclusion: one piece each, and the router blocks the signals in time.

--- a/Source/Control/ControlSettings.cxx
+++ b/Source/Control/ControlSettings.cxx
@@ -1,24 +1,11 @@
 #include "Control/ControlSettings.h"
 
+#include "Core/KeySettings.h"
+
 namespace ragwortdeck {
 
 using std::chrono::milliseconds;
 
-std::vector<SharedKey>
-ReadSharedKeys(SettingsSection& aRoot)
-{
-  std::vector<SharedKey> keys;
-  for (auto& section : aRoot.Sections("keys")) {
-    keys.push_back(
-      { section.RequiredString("id"), section.RequiredString("secret") });
-  }
-  const auto ring = KeyRing::Create(keys);
-  if (!ring) {
-    aRoot.Reject("keys", ring.error().mMessage);
-  }
-  return keys;
-}
-
 static void
 ReadMembership(SettingsSection aSection, MembershipSettings& aMembership)
 {
@@ -49,6 +36,7 @@
     core.mSeeds.push_back(ToText(seed));
   }
   settings.mKeys = ReadSharedKeys(aRoot);
+  MakeKeyRing(aRoot, settings.mKeys);
   settings.mKeyValue = KeyValueSettings::Read(aRoot.Section("key_value"));
   if (aRoot.Has("host_list")) {
     settings.mHostList = HostListSettings::Read(aRoot.Section("host_list"));
--- a/Source/Control/ControlSettings.h
+++ b/Source/Control/ControlSettings.h
@@ -32,9 +32,4 @@
 ControlSettings
 ReadControlSettings(SettingsSection& aRoot);
 
-/// Reads the list "keys" of mappings with "id" and "secret"; records an error
-/// when they make no key ring.
-std::vector<SharedKey>
-ReadSharedKeys(SettingsSection& aRoot);
-
 } // namespace ragwortdeck
--- a/Source/Filters/RouterSettings.cxx
+++ b/Source/Filters/RouterSettings.cxx
@@ -1,5 +1,6 @@
 #include "Filters/RouterSettings.h"
 
+#include "Core/KeySettings.h"
 #include "Filters/DispatcherFactory.h"
 
 #include <QFile>
@@ -119,21 +120,6 @@
   return target;
 }
 
-std::vector<SharedKey>
-ReadKeys(SettingsSection& aRoot)
-{
-  std::vector<SharedKey> keys;
-  for (auto& section : aRoot.Sections("keys")) {
-    keys.push_back(
-      { section.RequiredString("id"), section.RequiredString("secret") });
-  }
-  const auto ring = KeyRing::Create(keys);
-  if (!ring) {
-    aRoot.Reject("keys", "expected valid keys: " + ring.error().mMessage);
-  }
-  return keys;
-}
-
 void
 ReadLimits(SettingsSection aSection, RouterSettings& aSettings)
 {
@@ -230,7 +216,8 @@
     FailureDomain(aRoot.String("failure_domain", "default"));
   settings.mListen = aRoot.RequiredEndpoint("listen");
   settings.mThreads = Unsigned(aRoot, "threads", 2, 1, 64);
-  settings.mKeys = ReadKeys(aRoot);
+  settings.mKeys = ReadSharedKeys(aRoot);
+  MakeKeyRing(aRoot, settings.mKeys);
   const auto dispatchers = DispatcherNames();
   settings.mDispatcher =
     aRoot.Choice("dispatcher", dispatchers, dispatchers.front());
--- a/Source/Programs/Control.cxx
+++ b/Source/Programs/Control.cxx
@@ -2,61 +2,15 @@
 #include "Core/Log.h"
 #include "Core/Program.h"
 #include "Core/QtScheduler.h"
+#include "Core/StopSignals.h"
 
 #include <QCoreApplication>
-#include <QSocketNotifier>
-#include <csignal>
 #include <iostream>
-#include <sys/signalfd.h>
-#include <unistd.h>
 
 namespace ragwortdeck {
 
 namespace {
 
-/// \brief Delivers SIGTERM and SIGINT to the event loop.
-class StopSignals
-{
-public:
-  explicit StopSignals(const std::function<void()>& aOnStop)
-    : mFile(Open())
-    , mNotifier(mFile, QSocketNotifier::Read)
-  {
-    QObject::connect(
-      &mNotifier, &QSocketNotifier::activated, &mNotifier, [this, aOnStop] {
-        signalfd_siginfo info;
-        while (read(mFile, &info, sizeof(info)) == sizeof(info)) {
-          aOnStop();
-        }
-      });
-  }
-  ~StopSignals() { close(mFile); }
-  StopSignals(const StopSignals&) = delete;
-  StopSignals& operator=(const StopSignals&) = delete;
-
-  /// To be called before any thread exists: a thread of a library that does
-  /// not block the signals would end the process.
-  static sigset_t Block()
-  {
-    sigset_t signals;
-    sigemptyset(&signals);
-    sigaddset(&signals, SIGTERM);
-    sigaddset(&signals, SIGINT);
-    pthread_sigmask(SIG_BLOCK, &signals, nullptr);
-    return signals;
-  }
-
-private:
-  static int Open()
-  {
-    const auto signals = Block();
-    return signalfd(-1, &signals, SFD_NONBLOCK | SFD_CLOEXEC);
-  }
-
-  int mFile;
-  QSocketNotifier mNotifier;
-};
-
 int
 Run(int& argc, char** argv, const ControlSettings& aSettings)
 {
--- a/Source/Programs/Ctl.cxx
+++ b/Source/Programs/Ctl.cxx
@@ -1,3 +1,4 @@
+#include "Core/KeySettings.h"
 #include "Core/Program.h"
 #include "Core/QtScheduler.h"
 #include "Ctl/CtlContext.h"
@@ -99,18 +100,9 @@
     settings.mKeyValue = KeyValueSettings::Read(aRoot.Section("key_value"));
   }
   settings.mAuthor = aRoot.String("author", "operator");
-  std::vector<SharedKey> keys;
-  for (auto& section : aRoot.Sections("keys")) {
-    keys.push_back(
-      { section.RequiredString("id"), section.RequiredString("secret") });
-  }
+  const auto keys = ReadSharedKeys(aRoot);
   if (!keys.empty()) {
-    auto ring = KeyRing::Create(std::move(keys));
-    if (ring) {
-      settings.mKeys.emplace(std::move(ring).value());
-    } else {
-      aRoot.Reject("keys", "expected valid keys: " + ring.error().mMessage);
-    }
+    settings.mKeys = MakeKeyRing(aRoot, keys);
   }
   return settings;
 }
--- a/Source/Programs/Router.cxx
+++ b/Source/Programs/Router.cxx
@@ -2,17 +2,15 @@
 
 #include "Core/Log.h"
 #include "Core/Program.h"
+#include "Core/StopSignals.h"
 #include "Filters/ActionGateway.h"
 #include "Filters/ControlLink.h"
 #include "Filters/DispatcherFactory.h"
 
 #include <QCoreApplication>
-#include <QSocketNotifier>
 #include <csignal>
 #include <memory>
 #include <optional>
-#include <sys/signalfd.h>
-#include <unistd.h>
 
 using namespace ragwortdeck;
 
@@ -20,19 +18,6 @@
 
 const Log kLog("router");
 
-/// Blocks SIGTERM and SIGINT in all threads and returns a descriptor that
-/// reports them.
-int
-OpenSignals()
-{
-  sigset_t signals;
-  sigemptyset(&signals);
-  sigaddset(&signals, SIGTERM);
-  sigaddset(&signals, SIGINT);
-  pthread_sigmask(SIG_BLOCK, &signals, nullptr);
-  return signalfd(-1, &signals, SFD_NONBLOCK | SFD_CLOEXEC);
-}
-
 int
 ToExitCode(const Error& aError)
 {
@@ -80,7 +65,6 @@
 {
   // A caller or target that has gone shows as a write error.
   std::signal(SIGPIPE, SIG_IGN);
-  const int signals = OpenSignals();
   QCoreApplication app(argc, argv);
   const RcuReaderThread reader;
   QtScheduler scheduler;
@@ -101,17 +85,11 @@
     link = std::make_unique<ControlLink>(
       scheduler, *running, aSettings.mRouter, *aSettings.mControl);
   }
-  QSocketNotifier notifier(signals, QSocketNotifier::Read);
-  QObject::connect(&notifier, &QSocketNotifier::activated, &app, [&] {
-    signalfd_siginfo info{};
-    while (read(signals, &info, sizeof(info)) == ssize_t(sizeof(info))) {
-      router.value()->Shutdown([] { QCoreApplication::quit(); });
-    }
-  });
+  const StopSignals signals(
+    [&] { router.value()->Shutdown([] { QCoreApplication::quit(); }); });
   const int code = QCoreApplication::exec();
   link.reset();
   router.value().reset();
-  close(signals);
   return code;
 }
 
@@ -120,6 +98,7 @@
 int
 main(int argc, char** argv)
 {
+  StopSignals::Block();
   ProgramSpec spec;
   spec.mName = "ragwort-router";
   spec.mDescription = "Serves callers' requests on an entry host";
--- a/Utilities/Site/site_processes.py
+++ b/Utilities/Site/site_processes.py
@@ -168,7 +168,7 @@
         self.add("host-list", "ragwort-standin-hostlist",
                  {"listen": HOST_LIST, "hosts_file": str(hosts)})
 
-    def host_list(self, leaving=()):
+    def host_list(self):
         """The host list in the format of Prometheus HTTP discovery."""
         entries = []
         for role, names in (("router", self.entry_hosts),
@@ -177,7 +177,7 @@
             for name in names:
                 labels = {"host": name, "role": role,
                           "failure_domain": self.domain(name),
-                          "state": "leaving" if name in leaving else "live",
+                          "state": "live",
                           "checks_fencing": "true"}
                 if role == "engine":
                     labels["model"] = "drafts"
