Lint: Fix what clang-tidy reports over all sources

One of the reports was a real fault of a test: the alphabet of the event stream fuzzer was built from a literal with an embedded NUL, so that the string ended before it and NUL was never drawn. It is now drawn from the array with its terminator.

--- a/Source/Control/ControlProcess.cxx
+++ b/Source/Control/ControlProcess.cxx
@@ -139,8 +139,9 @@
         mCredits->OnLiveHosts(aHosts);
         mRouterLink->Send(PeerMessage::Of(LiveHostsMessage{ aHosts }));
       },
-      [this](const Target& aTarget, LoadSharing::ReportCallback aCallback) {
-        mPoller.Poll(aTarget, std::move(aCallback));
+      [this](const Target& aTarget,
+             const LoadSharing::ReportCallback& aCallback) {
+        mPoller.Poll(aTarget, aCallback);
       },
       [this](const MemberRecord& aRecord) { RecordMember(aRecord); },
       [this](std::uint64_t aVersion) { RecordTable(aVersion); },
--- a/Source/Filters/DispatcherFactory.cxx
+++ b/Source/Filters/DispatcherFactory.cxx
@@ -27,6 +27,7 @@
 DispatcherNames()
 {
   std::vector<std::string> names;
+  names.reserve(kPolicies.size());
   for (const auto& [name, policy] : kPolicies) {
     names.emplace_back(name);
   }
--- a/Source/Filters/RequestScanner.cxx
+++ b/Source/Filters/RequestScanner.cxx
@@ -16,9 +16,10 @@
 ToLower(std::string_view aText)
 {
   std::string text(aText);
-  std::transform(text.begin(), text.end(), text.begin(), [](unsigned char c) {
-    return char(std::tolower(c));
-  });
+  std::transform(text.begin(),
+                 text.end(),
+                 text.begin(),
+                 [](unsigned char aByte) { return char(std::tolower(aByte)); });
   return text;
 }
 
--- a/Source/Filters/ServiceCaller.cxx
+++ b/Source/Filters/ServiceCaller.cxx
@@ -243,7 +243,7 @@
 }
 
 void
-ServiceCaller::Refuse(Verdict aVerdict)
+ServiceCaller::Refuse(const Verdict& aVerdict)
 {
   mIsDone = true;
   mCalls.clear();
--- a/Source/Filters/ServiceCaller.h
+++ b/Source/Filters/ServiceCaller.h
@@ -40,7 +40,7 @@
                    const TransferEnd& aEnd);
   void ArmHedge();
   void FinishAction(const ActionResult& aResult);
-  void Refuse(Verdict aVerdict);
+  void Refuse(const Verdict& aVerdict);
 
   RequestEnvironment& mEnvironment;
   RequestContext mContext;
--- a/Source/Filters/ServiceTransport.cxx
+++ b/Source/Filters/ServiceTransport.cxx
@@ -74,7 +74,7 @@
 ActionQueryHook
 ServiceTransport::QueryHook()
 {
-  return [this](const ActionCall& aCall, OnReport aOnReport) {
+  return [this](const ActionCall& aCall, const OnReport& aOnReport) {
     Send(aCall, "GET", [aOnReport](DispatchReport aReport) {
       // A service that does not know the key proves nothing: the call may
       // still be on its way.
--- a/Source/Programs/Load.cxx
+++ b/Source/Programs/Load.cxx
@@ -26,7 +26,7 @@
 std::string
 ReadToken(SettingsSection& aRoot)
 {
-  const auto token = aRoot.String("token", "");
+  auto token = aRoot.String("token", "");
   const auto team = aRoot.String("team", "");
   if (!token.empty() || team.empty()) {
     return token;
--- a/Source/Targets/LoadRun.cxx
+++ b/Source/Targets/LoadRun.cxx
@@ -4,6 +4,7 @@
 #include <QJsonDocument>
 #include <QJsonObject>
 #include <algorithm>
+#include <cmath>
 #include <sstream>
 
 namespace ragwortdeck {
@@ -75,7 +76,7 @@
   if (aSamples.empty()) {
     return 0;
   }
-  const auto rank = std::size_t(aQuantile * double(aSamples.size() - 1) + 0.5);
+  const auto rank = std::lround(aQuantile * double(aSamples.size() - 1));
   const auto at = aSamples.begin() + std::ptrdiff_t(rank);
   std::nth_element(aSamples.begin(), at, aSamples.end());
   return *at;
--- a/Tests/Control/Fabric.cxx
+++ b/Tests/Control/Fabric.cxx
@@ -98,7 +98,7 @@
            },
            [](const std::vector<HostId>&) {},
            [this, host](const Target& aTarget,
-                        LoadSharing::ReportCallback aCallback) {
+                        const LoadSharing::ReportCallback& aCallback) {
              ++host->mPolls;
              host->mScheduler->Post(
                std::chrono::milliseconds(2),
--- a/Tests/StandIns/EngineModel.cxx
+++ b/Tests/StandIns/EngineModel.cxx
@@ -212,7 +212,8 @@
 }
 
 int
-EngineModel::Order(std::uint64_t aFencing, std::vector<std::string> aModels)
+EngineModel::Order(std::uint64_t aFencing,
+                   const std::vector<std::string>& aModels)
 {
   if (mOptions.mChecksFencing && aFencing < mFencing) {
     return 409;
--- a/Tests/StandIns/EngineModel.h
+++ b/Tests/StandIns/EngineModel.h
@@ -91,7 +91,7 @@
   bool Cancel(const std::string& aId);
   bool HasModel(const std::string& aModel) const;
   /// HTTP status of an order to load models.
-  int Order(std::uint64_t aFencing, std::vector<std::string> aModels);
+  int Order(std::uint64_t aFencing, const std::vector<std::string>& aModels);
 
   /// Runs after each batch step.
   void SetOnStep(OnStep aOnStep) { mOnStep = std::move(aOnStep); }
--- a/Tests/StandIns/EngineServer.cxx
+++ b/Tests/StandIns/EngineServer.cxx
@@ -185,7 +185,7 @@
     models.push_back(model.toString().toStdString());
   }
   const auto fencing = std::uint64_t(body["fencing"].toInteger());
-  const int status = mModel.Order(fencing, std::move(models));
+  const int status = mModel.Order(fencing, models);
   WriteReply(aSocket, status, mModel.StateJson());
 }
 
--- a/Tests/Targets/SseFuzzTest.cxx
+++ b/Tests/Targets/SseFuzzTest.cxx
@@ -33,11 +33,12 @@
 std::string
 Garbage(RandomSource& aRandom, std::size_t aSize)
 {
-  static const std::string sAlphabet =
-    "data: event:\r\n\n{}[]\",0123456789\\\"sequence_number\":-e\xff\x00x";
+  // The terminating NUL of the literal is drawn too.
+  static constexpr char kAlphabet[] =
+    "data: event:\r\n\n{}[]\",0123456789\\\"sequence_number\":-e\xffx";
   std::string text;
   while (text.size() < aSize) {
-    text += sAlphabet[aRandom.Below(sAlphabet.size())];
+    text += kAlphabet[aRandom.Below(sizeof(kAlphabet))];
   }
   return text;
 }
@@ -74,7 +75,10 @@
         const auto data = "{\"n\":" + std::to_string(n) + "}";
         const std::string end = random.Chance(0.5) ? "\r\n" : "\n";
         text += random.Chance(0.2) ? ": comment" + end : "";
-        text += "event: t" + end + "data: " + data + end + end;
+        for (const auto& part :
+             { std::string("event: t"), end, "data: " + data, end, end }) {
+          text += part;
+        }
         expected.push_back({ "t", data });
       }
       CPPUNIT_ASSERT(expected == ParseAll(text, random));
