Control: Run the lease and the orders to engines on every entry host

Cause: the lease, the order controller and the weight budget had tests of their own, but no process used them. The stand-in engine spoke another form of orders than the order client.

Change: LeaderDuties joins them in ragwort-control, with settings, events for the lease and each order, and the holder in status. A leaving host gives the lease up. The stand-in engine executes the same orders as the engine of the order tests, and can take its weights from the weight store. Engines list ready models in their load reports, because the host list does not follow orders and no router would send work to a model that was loaded by one.

Found on the way: two parsers of load reports with different rules, of which one remains; the service stand-in had no load report and was counted as reachable only because any JSON object passed; an empty models sheet would have unloaded all models; the looks at the lease grew with the hosts (73 reads/s at 1,100 hosts) and now stay at the rate of 20 hosts, with the same time to replace a holder.

Ruled out: reading /state from every host to learn the models (one more call per engine and second); the load report is already shared.

--- a/Benchmarks/Control/ControlCost.cxx
+++ b/Benchmarks/Control/ControlCost.cxx
@@ -117,7 +117,7 @@
 {
   Fabric fabric(aHosts, Domains(aHosts), kSeed);
   fabric.mLoadOf = [](const TargetId&) -> Result<LoadReport> {
-    return LoadReport{ 100'000, 50'000, 20, 3, 32, 0, 0 };
+    return LoadReport{ 100'000, 50'000, 20, 3, 32, 0, {}, 0 };
   };
   fabric.Edit(1);
   fabric.StartAll();
--- a/Source/Control/ControlProcess.cxx
+++ b/Source/Control/ControlProcess.cxx
@@ -137,6 +137,9 @@
       [this](const std::vector<HostId>& aHosts) {
         mLiveHosts = aHosts;
         mCredits->OnLiveHosts(aHosts);
+        if (mDuties) {
+          mDuties->OnLiveHosts(aHosts.size());
+        }
         mRouterLink->Send(PeerMessage::Of(LiveHostsMessage{ aHosts }));
       },
       [this](const Target& aTarget,
@@ -150,6 +153,7 @@
   started.mType = EventType::kProcessStarted;
   mRecorder.Record(started);
   mCore->Start();
+  StartDuties();
   if (mSettings.mHostList) {
     mHostList = std::make_unique<HostListClient>(
       mScheduler,
@@ -162,6 +166,58 @@
             std::to_string(mRouterLink->Port()));
 }
 
+void
+ControlProcess::StartDuties()
+{
+  if (!mSettings.mLeader) {
+    return;
+  }
+  mDuties = std::make_unique<LeaderDuties>(
+    mScheduler,
+    mStore,
+    mRandom.Split(),
+    mSettings.mCore.mHost,
+    *mSettings.mLeader,
+    LeaderDuties::Hooks{
+      [this] { return std::make_shared<const SiteView>(mCore->View()); },
+      [this](std::int64_t aFencing) { RecordLease(aFencing); },
+      [this](const Target& aTarget, const EngineOrder& aOrder) {
+        RecordOrder(aTarget, aOrder, "sent");
+      },
+      [this](
+        const Target& aTarget, const EngineOrder& aOrder, OrderReport aReport) {
+        RecordOrder(aTarget, aOrder, ToText(aReport));
+      } });
+  mDuties->Start();
+}
+
+void
+ControlProcess::RecordLease(std::int64_t aFencing)
+{
+  EventFields fields;
+  fields.mType =
+    aFencing != 0 ? EventType::kLeaseAcquired : EventType::kLeaseLost;
+  fields.mLease = aFencing != 0 ? aFencing : mFencing;
+  mFencing = aFencing;
+  mRecorder.Record(fields);
+}
+
+void
+ControlProcess::RecordOrder(const Target& aTarget,
+                            const EngineOrder& aOrder,
+                            std::string_view aVerdict)
+{
+  const auto detail = aOrder.mId + " " + ToText(aOrder.mAction) + " " +
+                      aOrder.mModel.Value() + " " + aOrder.mVersion;
+  EventFields fields;
+  fields.mType = EventType::kOrderSent;
+  fields.mTarget = aTarget.mId.Value();
+  fields.mLease = aOrder.mFencing;
+  fields.mVerdict = aVerdict;
+  fields.mDetail = detail;
+  mRecorder.Record(fields);
+}
+
 void
 ControlProcess::TakePeerMessage(const PeerMessage& aMessage)
 {
@@ -224,6 +280,10 @@
 {
   auto status = mCore->Status();
   status.mRouterConnected = mRouterLink->RouterCount() > 0;
+  if (mDuties) {
+    status.mLeaseHolder = mDuties->Lease().Holder();
+    status.mFencingToken = mDuties->Lease().Fencing();
+  }
   const auto age = mHostList ? mHostList->Age() : std::nullopt;
   status.mHostListAgeMillis = age ? age->count() / 1000 : -1;
   return status;
@@ -256,6 +316,9 @@
 ControlProcess::Publish(const SiteView& aView)
 {
   mCredits->OnView(aView);
+  if (mDuties) {
+    mDuties->SetLeaving(aView.mThisHostLeaving);
+  }
   mRouterLink->Publish(aView);
 }
 
@@ -269,6 +332,9 @@
   EventFields stopping;
   stopping.mType = EventType::kProcessStopping;
   mRecorder.Record(stopping);
+  if (mDuties) {
+    mDuties->Stop();
+  }
   mCore->Leave();
   mStopping = true;
   mRouterLink->Drain(mSettings.mDrainLimit, [this, aDone] {
--- a/Source/Control/ControlProcess.h
+++ b/Source/Control/ControlProcess.h
@@ -35,6 +35,11 @@
   void TakeOther(const PeerMessage& aMessage);
   void RecordMember(const MemberRecord& aRecord);
   void RecordTable(std::uint64_t aVersion);
+  void StartDuties();
+  void RecordLease(std::int64_t aFencing);
+  void RecordOrder(const Target& aTarget,
+                   const EngineOrder& aOrder,
+                   std::string_view aVerdict);
   void TakeRouterMessage(const PeerMessage& aMessage);
   void TakeHostList(const HostList& aList);
   void Publish(const SiteView& aView);
@@ -50,10 +55,12 @@
   std::unique_ptr<CreditRouting> mCredits;
   std::unique_ptr<ControlCore> mCore;
   std::unique_ptr<EventAnswers> mEvents;
+  std::unique_ptr<LeaderDuties> mDuties;
   std::unique_ptr<PeerNetwork> mNetwork;
   std::unique_ptr<RouterLinkServer> mRouterLink;
   std::unique_ptr<HostListClient> mHostList;
   std::vector<HostId> mLiveHosts;
+  std::int64_t mFencing = 0;
   bool mStopping = false;
 };
 
--- a/Source/Control/ControlSettings.h
+++ b/Source/Control/ControlSettings.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "Control/ControlCore.h"
+#include "Control/LeaderDuties.h"
 #include "Core/KeyRing.h"
 #include "Platform/HostListClient.h"
 #include "Platform/HttpKeyValueStore.h"
@@ -22,13 +23,15 @@
   /// hosts are not used to find peers.
   std::uint16_t mListedPeerPort = 0;
   std::chrono::milliseconds mLoadTimeout{ 800 };
+  /// Absent when "orders.enabled" is false: this host never takes the lease.
+  std::optional<LeaderSettings> mLeader;
   /// Longest time that a graceful stop waits for unsent bytes.
   std::chrono::milliseconds mDrainLimit{ 5000 };
 };
 
 /// Reads "host", "failure_domain", "peer_listen", "peer_address",
 /// "router_listen", "seeds", "keys", "key_value", "host_list",
-/// "listed_peer_port", "membership", "load_poll" and "shutdown".
+/// "listed_peer_port", "membership", "load_poll", "orders" and "shutdown".
 ControlSettings
 ReadControlSettings(SettingsSection& aRoot);
 
--- a/Source/Control/TargetPoller.h
+++ b/Source/Control/TargetPoller.h
@@ -6,11 +6,6 @@
 
 namespace ragwortdeck {
 
-/// Parses an ORCA load report in JSON. Memory and batch come from
-/// named_metrics; fails with kCorrupt when it is not a report.
-Result<LoadReport>
-ParseLoadReport(const QByteArray& aJson);
-
 /// \brief Reads load reports of targets over HTTP.
 class TargetPoller
 {
--- a/Source/Controllers/HostDirectory.cxx
+++ b/Source/Controllers/HostDirectory.cxx
@@ -160,6 +160,11 @@
     if (load != mLoads.end()) {
       target.mLoad = load->second.mReport;
       target.mLoad.mAgeMicros = (now - load->second.mMeasured).count();
+      // The engine's own word is newer than the host list, which lags and does
+      // not follow orders.
+      if (target.mLoad.mReadyModels) {
+        target.mModels = *target.mLoad.mReadyModels;
+      }
     }
     targets.emplace(target.mId, std::move(target));
   }
--- a/Source/Controllers/LeaderLease.cxx
+++ b/Source/Controllers/LeaderLease.cxx
@@ -54,6 +54,8 @@
 {
   ++mTerm;
   mTimer.Cancel();
+  mIsWatching = false;
+  mHolder = {};
   const auto lease = std::exchange(mLease, 0);
   const bool held = std::exchange(mFencing, 0) != 0;
   if (lease != 0) {
@@ -84,6 +86,7 @@
 void
 LeaderLease::Next(Duration aMeanPause, Step aStep)
 {
+  mIsWatching = false;
   mTimer = mScheduler.After(Jittered(aMeanPause, mRandom),
                             [this, aStep] { (this->*aStep)(); });
 }
@@ -107,14 +110,43 @@
         return;
       }
       mRetryPause = mSettings.mMinRetry;
-      if (aReply.value().mKeys.empty()) {
+      const auto& keys = aReply.value().mKeys;
+      if (keys.empty()) {
+        mHolder = {};
         Acquire();
       } else {
-        Next(mSettings.mPollEvery, &LeaderLease::Look);
+        mHolder = HostId(keys.front().mValue);
+        LookAfterPause();
       }
     }));
 }
 
+Duration
+LeaderLease::LookPause() const
+{
+  const auto hosts = std::max(mLiveHosts, mSettings.mPollHosts);
+  return mSettings.mPollEvery * std::int64_t(hosts) /
+         std::int64_t(mSettings.mPollHosts);
+}
+
+void
+LeaderLease::LookAfterPause()
+{
+  Next(LookPause(), &LeaderLease::Look);
+  mIsWatching = true;
+}
+
+void
+LeaderLease::OnLiveHosts(std::size_t aCount)
+{
+  const auto before = LookPause();
+  mLiveHosts = aCount;
+  // The looks of hosts that are gone must not be waited for.
+  if (mIsWatching && LookPause() * 2 <= before) {
+    LookAfterPause();
+  }
+}
+
 void
 LeaderLease::Acquire()
 {
@@ -172,7 +204,7 @@
   }
   // Another host was first; the unused lease expires by itself.
   mLease = 0;
-  Next(mSettings.mPollEvery, &LeaderLease::Look);
+  LookAfterPause();
 }
 
 void
@@ -183,6 +215,7 @@
     return;
   }
   mFencing = aFencing;
+  mHolder = mHost;
   mRetryPause = mSettings.mMinRetry;
   sLog.Info("lease gained, fencing " + std::to_string(mFencing));
   Next(mSettings.mRenewEvery, &LeaderLease::Renew);
@@ -275,6 +308,7 @@
 LeaderLease::Lose()
 {
   mLease = 0;
+  mHolder = {};
   const bool held = std::exchange(mFencing, 0) != 0;
   mRetryPause = mSettings.mMinRetry;
   Retry(&LeaderLease::Look);
--- a/Source/Controllers/LeaderLease.h
+++ b/Source/Controllers/LeaderLease.h
@@ -17,9 +17,12 @@
   std::chrono::seconds mTtl{ 15 };
   /// Three renewals fit into the time to live.
   Duration mRenewEvery = std::chrono::seconds(5);
-  /// Mean pause between looks at the lease of another host: 20 hosts make 1.3
-  /// reads/s, 1,100 hosts 73.
+  /// Mean pause between looks at the lease of another host, on a site of at
+  /// most mPollHosts live hosts: together they make 1.3 reads/s. On a larger
+  /// one the pause grows with the number of hosts, so that this rate, and the
+  /// time until some host notices a lapse, stay as they are.
   Duration mPollEvery = std::chrono::seconds(15);
+  std::size_t mPollHosts = 20;
   /// Mean pause after a failed call; doubles up to the maximum.
   Duration mMinRetry = std::chrono::seconds(1);
   Duration mMaxRetry = std::chrono::seconds(60);
@@ -52,6 +55,9 @@
   /// it no more until the next Start().
   void Stop();
 
+  /// The number of live hosts, which share the looks at the lease.
+  void OnLiveHosts(std::size_t aCount);
+
   /// To be asked at each use, right before the act.
   bool MayAct() const { return Remaining() > Duration::zero(); }
   /// Time for which this host may still act; zero when it may not.
@@ -60,6 +66,8 @@
   /// the lease up if not. For use after any doubt, and before a batch of
   /// acts on targets that do not check the fencing token.
   void Confirm(const std::function<void(bool)>& aCallback);
+  /// The host that held the lease at the last look; empty for none.
+  const HostId& Holder() const { return mHolder; }
   /// The lease key's create revision; 0 when the lease is not held.
   std::int64_t Fencing() const { return mFencing; }
   const LeaderLeaseSettings& Settings() const { return mSettings; }
@@ -71,7 +79,9 @@
   void Retry(Step aStep);
   bool Lapsed() const;
 
+  Duration LookPause() const;
   void Look();
+  void LookAfterPause();
   void Acquire();
   void CommitKey();
   void OnCommitted(const KeyValueResult<KeyTransactionReply>& aReply);
@@ -96,6 +106,10 @@
   std::uint64_t mTerm = 0;
   std::int64_t mLease = 0;
   std::int64_t mFencing = 0;
+  HostId mHolder;
+  std::size_t mLiveHosts = 1;
+  /// The timer waits for the next look at another host's lease.
+  bool mIsWatching = false;
   /// The service keeps the lease at least until then.
   MonotonicTime mDeadline{};
   Duration mRetryPause{};
--- a/Source/Controllers/OrderController.cxx
+++ b/Source/Controllers/OrderController.cxx
@@ -64,8 +64,9 @@
     BeginTerm();
   }
   mView = mHooks.mView();
-  // Without a table nothing is known to be wanted; acting would unload all.
-  if (!mView || mView->mTable.mVersion == 0) {
+  // Without a table, or before the models sheet has its first row, nothing is
+  // known to be wanted; acting would unload all.
+  if (!mView || mView->mTable.mVersion == 0 || mView->mTable.mModels.empty()) {
     return;
   }
   const auto reading = mScheduler.Now() - mReadStart;
--- a/Source/Core/EngineOrder.h
+++ b/Source/Core/EngineOrder.h
@@ -4,7 +4,9 @@
 #include "Core/Ids.h"
 
 #include <cstdint>
+#include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace ragwortdeck {
@@ -27,6 +29,10 @@
 const char*
 ToText(OrderAction aAction);
 
+/// Empty for an unknown text.
+std::optional<OrderAction>
+OrderActionFromText(std::string_view aText);
+
 /// \brief An order to an engine. An engine that knows its id does nothing
 /// again.
 struct EngineOrder
@@ -59,6 +65,10 @@
   kUnknown,
 };
 
+/// "accepted", "stale", "refused", "not_sent" or "unknown".
+const char*
+ToText(OrderReport aReport);
+
 /// \brief A version of a model on an engine.
 struct LoadedModel
 {
--- a/Source/Core/SiteView.h
+++ b/Source/Core/SiteView.h
@@ -5,6 +5,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -113,6 +114,8 @@
   /// Batch slots.
   std::uint32_t mMaxBatch = 0;
   std::uint64_t mPreemptions = 0;
+  /// Models that are ready; none when the engine does not list them.
+  std::optional<std::vector<ModelName>> mReadyModels;
   /// Microseconds between the report's measurement and its receipt.
   std::int64_t mAgeMicros = 0;
 
@@ -123,6 +126,7 @@
                      mWaiting,
                      mMaxBatch,
                      mPreemptions,
+                     mReadyModels,
                      mAgeMicros)
 };
 
--- a/Source/Targets/LoadReportJson.cxx
+++ b/Source/Targets/LoadReportJson.cxx
@@ -26,6 +26,24 @@
   return true;
 }
 
+/// The names behind metrics "model.<name>", when "ready_models" is present: the
+/// metrics of an ORCA report are numbers by name.
+std::optional<std::vector<ModelName>>
+ReadyModels(const QJsonObject& aMetrics)
+{
+  if (!aMetrics.contains(QLatin1String("ready_models"))) {
+    return std::nullopt;
+  }
+  const QLatin1String prefix("model.");
+  std::vector<ModelName> models;
+  for (auto it = aMetrics.begin(); it != aMetrics.end(); ++it) {
+    if (it.key().startsWith(prefix) && it.value().toDouble() > 0) {
+      models.emplace_back(it.key().mid(prefix.size()).toStdString());
+    }
+  }
+  return models;
+}
+
 } // namespace
 
 Result<LoadReport>
@@ -51,6 +69,7 @@
     return Failure(ErrorCode::kCorrupt,
                    "a load report with a metric out of range");
   }
+  report.mReadyModels = ReadyModels(named);
   return report;
 }
 
--- a/Tests/Controllers/LeaderLeaseTest.cxx
+++ b/Tests/Controllers/LeaderLeaseTest.cxx
@@ -22,6 +22,8 @@
   CPPUNIT_TEST(TestGracefulStop);
   CPPUNIT_TEST(TestRandomFaults);
   CPPUNIT_TEST(TestOutageWithoutStampede);
+  CPPUNIT_TEST(TestReadsDoNotGrowWithHosts);
+  CPPUNIT_TEST(TestSurvivorsLookSoon);
   CPPUNIT_TEST_SUITE_END();
 
   static std::size_t HolderOf(const LeaseWorld& aWorld)
@@ -205,6 +207,60 @@
     CPPUNIT_ASSERT(during <= kHosts * 120);
     CPPUNIT_ASSERT(worstSecond <= kHosts / 2);
   }
+
+  /// Guards against a load on the key-value service that grows with the site:
+  /// 1,100 hosts that each look every 15 s would make 73 reads/s.
+  void TestReadsDoNotGrowWithHosts()
+  {
+    constexpr std::size_t kHosts = 400;
+    LeaseWorld world(kHosts);
+    for (const auto& host : world.mHosts) {
+      host->mLease->OnLiveHosts(kHosts);
+    }
+    world.WrongMoments(10min);
+    const auto before = world.Calls();
+    world.WrongMoments(10min);
+    const auto perSecond = double(world.Calls() - before) / 600;
+    // 20 hosts per 15 s, and the holder's renewal and look every 5 s; the mean
+    // of a jittered pause varies by less than a fifth over that many looks.
+    CPPUNIT_ASSERT(perSecond < (20.0 / 15 + 2.0 / 5) * 1.2);
+    Section("a lost holder is replaced as soon as on a small site", [&] {
+      world.mHosts[HolderOf(world)]->mProcess.Kill();
+      CPPUNIT_ASSERT_EQUAL(0, world.WrongMoments(45s));
+      HolderOf(world);
+    });
+    Section("status names the holder", [&] {
+      world.WrongMoments(10min);
+      const auto holder = HolderOf(world);
+      const auto name = HostId("entry-" + std::to_string(holder));
+      for (const auto& host : world.mHosts) {
+        if (!host->mProcess.IsKilled()) {
+          CPPUNIT_ASSERT(host->mLease->Holder() == name);
+        }
+      }
+    });
+  }
+
+  /// Guards against survivors that wait out the long pauses of a large site
+  /// after most of it was lost: at 400 hosts the mean pause is 5 minutes.
+  void TestSurvivorsLookSoon()
+  {
+    constexpr std::size_t kHosts = 400;
+    constexpr std::size_t kSurvivors = 4;
+    LeaseWorld world(kHosts);
+    for (const auto& host : world.mHosts) {
+      host->mLease->OnLiveHosts(kHosts);
+    }
+    world.WrongMoments(10min);
+    for (std::size_t n = kSurvivors; n < kHosts; ++n) {
+      world.mHosts[n]->mProcess.Kill();
+    }
+    for (std::size_t n = 0; n < kSurvivors; ++n) {
+      world.mHosts[n]->mLease->OnLiveHosts(kSurvivors);
+    }
+    CPPUNIT_ASSERT_EQUAL(0, world.WrongMoments(45s));
+    HolderOf(world);
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(LeaderLeaseTest);
--- a/Tests/Controllers/OrderControllerTest.cxx
+++ b/Tests/Controllers/OrderControllerTest.cxx
@@ -50,7 +50,7 @@
   static std::unique_ptr<OrderWorld> VersionChange(bool aChecksFencing,
                                                    std::size_t aHosts)
   {
-    FakeEngine::Options options;
+    OrderedEngine::Options options;
     options.mChecksFencing = aChecksFencing;
     auto world = std::make_unique<OrderWorld>(aHosts, kEngines, options);
     world->SetModel("m", 2, "v1");
@@ -127,7 +127,7 @@
   /// Each engine holds one model; the version can change only by unloading.
   void TestVersionWithoutSpareMemory()
   {
-    FakeEngine::Options small;
+    OrderedEngine::Options small;
     small.mMemoryBytes = 50;
     OrderWorld world(2, 2, small);
     world.SetModel("m", 2, "v1");
@@ -208,7 +208,7 @@
     for (const bool checks : { true, false }) {
       for (int kind = 1; kind <= 4; ++kind) {
         for (std::uint64_t seed = 1; seed <= 10; ++seed) {
-          FakeEngine::Options options;
+          OrderedEngine::Options options;
           options.mChecksFencing = checks;
           OrderWorld world(2, 4, options, seed);
           RandomSource random(seed);
--- a/Tests/Controllers/OrderWorld.cxx
+++ b/Tests/Controllers/OrderWorld.cxx
@@ -20,7 +20,7 @@
 
 OrderWorld::OrderWorld(std::size_t aHosts,
                        std::size_t aEngines,
-                       FakeEngine::Options aEngine,
+                       OrderedEngine::Options aEngine,
                        std::uint64_t aSeed)
   : mService(std::make_shared<FakeKeyValueService>())
   , mView(std::make_shared<SiteView>())
@@ -39,7 +39,7 @@
     target.mFailureDomain = FailureDomain("domain-" + std::to_string(n % 3));
     target.mChecksFencing = aEngine.mChecksFencing;
     mView->mTargets[target.mId] = target;
-    auto engine = std::make_unique<FakeEngine>(mScheduler, aEngine);
+    auto engine = std::make_unique<OrderedEngine>(mScheduler, aEngine);
     engine->mOnLoad = [this](std::uint64_t aBytes) {
       mLoads.push_back({ mScheduler.Now(), aBytes });
     };
--- a/Tests/Controllers/OrderWorld.h
+++ b/Tests/Controllers/OrderWorld.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "Controllers/OrderController.h"
-#include "Support/FakeEngine.h"
+#include "StandIns/OrderedEngine.h"
 #include "Support/SimulatedProcess.h"
 
 #include <map>
@@ -46,7 +46,7 @@
 
   OrderWorld(std::size_t aHosts,
              std::size_t aEngines,
-             FakeEngine::Options aEngine,
+             OrderedEngine::Options aEngine,
              std::uint64_t aSeed = 1);
 
   void SetModel(const std::string& aModel,
@@ -54,7 +54,7 @@
                 const std::string& aVersion,
                 std::vector<std::string> aAdapters = {});
   void Mark(std::size_t aEngine, TargetState aState);
-  FakeEngine& Engine(std::size_t aEngine) { return *mEngines[aEngine]; }
+  OrderedEngine& Engine(std::size_t aEngine) { return *mEngines[aEngine]; }
   /// Engines with the model in this version ready.
   std::vector<std::size_t> Ready(const std::string& aModel,
                                  const std::string& aVersion) const;
@@ -91,7 +91,7 @@
   void OnUnload(const ModelName& aModel);
 
   std::int64_t mNewestFencing = 0;
-  std::vector<std::unique_ptr<FakeEngine>> mEngines;
+  std::vector<std::unique_ptr<OrderedEngine>> mEngines;
   std::shared_ptr<SiteView> mView;
 };
 
--- a/Tests/Programs/StandInEngine.cxx
+++ b/Tests/Programs/StandInEngine.cxx
@@ -6,6 +6,7 @@
 #include <QCoreApplication>
 #include <array>
 #include <memory>
+#include <optional>
 
 using namespace ragwortdeck;
 
@@ -51,11 +52,17 @@
                                               milliseconds(30'000),
                                               milliseconds(0),
                                               milliseconds(3'600'000));
-  options.mChecksFencing = aRoot.Boolean("checks_fencing", true);
-  options.mLoadModelTime = aRoot.Milliseconds("load_model_ms",
-                                              milliseconds(100),
-                                              milliseconds(0),
-                                              milliseconds(3'600'000));
+  options.mModelVersion = aRoot.String("model_version", options.mModelVersion);
+  auto& orders = options.mOrders;
+  orders.mChecksFencing = aRoot.Boolean("checks_fencing", true);
+  orders.mLoadTime = aRoot.Milliseconds("load_model_ms",
+                                        milliseconds(100),
+                                        milliseconds(0),
+                                        milliseconds(3'600'000));
+  orders.mModelBytes = std::uint64_t(aRoot.Integer(
+    "model_bytes", std::int64_t(orders.mModelBytes), 1, INT64_MAX));
+  orders.mMemoryBytes = std::uint64_t(aRoot.Integer(
+    "memory_bytes", std::int64_t(orders.mMemoryBytes), 1, INT64_MAX));
   return options;
 }
 
@@ -100,11 +107,15 @@
       char** argv,
       const Endpoint& aListen,
       const EngineOptions& aOptions,
-      const FaultRates& aRates)
+      const FaultRates& aRates,
+      const std::optional<Endpoint>& aWeightStore)
 {
   QCoreApplication app(argc, argv);
   EngineServer server(aOptions);
   server.SetFaults(MakeFaults(aRates));
+  if (aWeightStore) {
+    server.SetWeightStore(*aWeightStore);
+  }
   if (server.Listen(aListen) == 0) {
     kLog.Error(ToText(aListen) + ": address in use or not available");
     return kExitAddressInUse;
@@ -126,8 +137,12 @@
     const auto options = ReadOptions(aRoot);
     const auto rates =
       aRoot.Has("faults") ? ReadFaults(aRoot.Section("faults")) : FaultRates();
-    return [&argc, argv, listen, options, rates] {
-      return Serve(argc, argv, listen, options, rates);
+    std::optional<Endpoint> weights;
+    if (aRoot.Has("weight_store")) {
+      weights = aRoot.RequiredEndpoint("weight_store");
+    }
+    return [&argc, argv, listen, options, rates, weights] {
+      return Serve(argc, argv, listen, options, rates, weights);
     };
   };
   return RunProgram(argc, argv, spec);
--- a/Tests/StandIns/EngineModel.cxx
+++ b/Tests/StandIns/EngineModel.cxx
@@ -19,6 +19,19 @@
 /// Ended generations kept for resumption.
 constexpr std::size_t kKeptEnded = 20'000;
 
+QJsonObject
+ToJson(const LoadedModel& aLoaded)
+{
+  QJsonArray adapters;
+  for (const auto& adapter : aLoaded.mAdapters) {
+    adapters.append(QString::fromStdString(adapter));
+  }
+  return { { "model", QString::fromStdString(aLoaded.mModel.Value()) },
+           { "version", QString::fromStdString(aLoaded.mVersion) },
+           { "ready", aLoaded.mReady },
+           { "adapters", adapters } };
+}
+
 QString
 ToString(GenerationState aState)
 {
@@ -158,7 +171,11 @@
 EngineModel::EngineModel(Scheduler& aScheduler, EngineOptions aOptions)
   : mScheduler(aScheduler)
   , mOptions(std::move(aOptions))
+  , mOrders(aScheduler, mOptions.mOrders)
 {
+  for (const auto& model : mOptions.mModels) {
+    mOrders.Preload(ModelName(model), mOptions.mModelVersion);
+  }
 }
 
 Generation*
@@ -190,8 +207,7 @@
 bool
 EngineModel::HasModel(const std::string& aModel) const
 {
-  const auto& models = mOptions.mModels;
-  return std::find(models.begin(), models.end(), aModel) != models.end();
+  return mOrders.HasReady(ModelName(aModel));
 }
 
 bool
@@ -212,17 +228,17 @@
 }
 
 int
-EngineModel::Order(std::uint64_t aFencing,
-                   const std::vector<std::string>& aModels)
+EngineModel::Execute(const EngineOrder& aOrder)
 {
-  if (mOptions.mChecksFencing && aFencing < mFencing) {
-    return 409;
+  ++mOrderCount;
+  switch (mOrders.Receive(aOrder)) {
+    case OrderReport::kAccepted:
+      return 202;
+    case OrderReport::kStale:
+      return 409;
+    default:
+      return 422;
   }
-  mFencing = std::max(mFencing, aFencing);
-  ++mOrders;
-  mScheduler.Post(mOptions.mLoadModelTime,
-                  [this, aModels] { mOptions.mModels = aModels; });
-  return 202;
 }
 
 void
@@ -340,7 +356,7 @@
   const double share =
     double(used) / double(std::max<std::uint64_t>(mOptions.mMemoryTokens, 1));
   // Field names of an ORCA OrcaLoadReport in JSON.
-  const QJsonObject named{
+  QJsonObject named{
     { "memory_tokens", double(mOptions.mMemoryTokens) },
     { "memory_used_tokens", double(used) },
     { "running", double(mRunning.size()) },
@@ -348,6 +364,16 @@
     { "max_batch", double(mOptions.mMaxBatch) },
     { "preemptions", double(mPreemptions) },
   };
+  const auto models = mOrders.State().mModels;
+  named["ready_models"] =
+    double(std::count_if(models.begin(), models.end(), [](const auto& aModel) {
+      return aModel.mReady;
+    }));
+  for (const auto& loaded : models) {
+    if (loaded.mReady) {
+      named["model." + QString::fromStdString(loaded.mModel.Value())] = 1;
+    }
+  }
   const QJsonObject report{
     { "application_utilization", share },
     { "mem_utilization", share },
@@ -359,14 +385,17 @@
 QByteArray
 EngineModel::StateJson() const
 {
+  const auto orders = mOrders.State();
   QJsonArray models;
-  for (const auto& model : mOptions.mModels) {
-    models.append(QString::fromStdString(model));
+  for (const auto& loaded : orders.mModels) {
+    models.append(ToJson(loaded));
   }
   const QJsonObject state{
     { "models", models },
-    { "fencing", double(mFencing) },
-    { "orders", double(mOrders) },
+    { "role", QString::fromStdString(orders.mRole) },
+    { "memory_free_bytes", double(orders.mMemoryFreeBytes) },
+    { "fencing", double(orders.mFencing) },
+    { "orders", double(mOrderCount) },
     { "created", double(mCreated) },
     { "cancelled", double(mCancelled) },
     { "running", double(mRunning.size()) },
--- a/Tests/StandIns/EngineModel.h
+++ b/Tests/StandIns/EngineModel.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "Core/Scheduler.h"
+#include "StandIns/OrderedEngine.h"
 
 #include <QByteArray>
 #include <cstdint>
@@ -28,9 +29,12 @@
   std::uint32_t mMaxOutputTokens = 256;
   /// A generation without a reader for this long is dropped.
   Duration mOrphanTimeout{ 30'000'000 };
-  /// Refuses an order with a fencing token below the highest one seen.
-  bool mChecksFencing = true;
-  Duration mLoadModelTime{ 100'000 };
+  /// Version of the models that are loaded at the start.
+  std::string mModelVersion = "v1";
+  OrderedEngine::Options mOrders{ true,
+                                  40ULL << 30U,
+                                  std::chrono::milliseconds(100),
+                                  16ULL << 30U };
 };
 
 enum class GenerationState : std::uint8_t
@@ -90,8 +94,9 @@
   Generation* Find(const std::string& aId);
   bool Cancel(const std::string& aId);
   bool HasModel(const std::string& aModel) const;
-  /// HTTP status of an order to load models.
-  int Order(std::uint64_t aFencing, const std::vector<std::string>& aModels);
+  OrderedEngine& Orders() { return mOrders; }
+  /// Executes an order and returns the HTTP status of its reply.
+  int Execute(const EngineOrder& aOrder);
 
   /// Runs after each batch step.
   void SetOnStep(OnStep aOnStep) { mOnStep = std::move(aOnStep); }
@@ -124,8 +129,8 @@
   std::deque<std::string> mEnded;
   TimerHandle mTimer;
   MonotonicTime mNextStep;
-  std::uint64_t mFencing = 0;
-  std::uint64_t mOrders = 0;
+  OrderedEngine mOrders;
+  std::uint64_t mOrderCount = 0;
   std::uint64_t mCreated = 0;
   std::uint64_t mCancelled = 0;
   std::uint64_t mPreemptions = 0;
--- a/Tests/StandIns/EngineServer.cxx
+++ b/Tests/StandIns/EngineServer.cxx
@@ -5,8 +5,10 @@
 #include <QJsonArray>
 #include <QJsonDocument>
 #include <QJsonObject>
+#include <QNetworkReply>
 #include <QUrlQuery>
 #include <algorithm>
+#include <optional>
 #include <xxhash.h>
 
 namespace ragwortdeck {
@@ -14,6 +16,7 @@
 namespace {
 
 constexpr int kBacklog = 4096;
+constexpr Duration kWeightRetry{ 1'000'000 };
 const QByteArray kNotFound = R"({"error":{"code":"not_found"}})";
 
 /// Tokens of a prompt, at four bytes each.
@@ -31,6 +34,29 @@
            : QJsonDocument(aInput.toArray()).toJson(QJsonDocument::Compact);
 }
 
+std::optional<EngineOrder>
+ReadOrder(const QByteArray& aJson)
+{
+  const auto body = QJsonDocument::fromJson(aJson).object();
+  const auto text = [&body](const char* aName) {
+    return body[QLatin1String(aName)].toString().toStdString();
+  };
+  const auto action = OrderActionFromText(text("action"));
+  if (!action || text("id").empty()) {
+    return std::nullopt;
+  }
+  EngineOrder order;
+  order.mId = text("id");
+  order.mAction = *action;
+  order.mModel = ModelName(text("model"));
+  order.mVersion = text("version");
+  order.mAdapter = text("adapter");
+  order.mRole = text("role");
+  order.mFencing = body["fencing"].toInteger();
+  order.mExpiresIn = std::chrono::milliseconds(body["expires_in_ms"].toInt());
+  return order;
+}
+
 } // namespace
 
 EngineServer::EngineServer(EngineOptions aOptions)
@@ -179,14 +205,40 @@
 EngineServer::HandleOrder(const QHttpServerRequest& aRequest,
                           QTcpSocket& aSocket)
 {
-  const auto body = QJsonDocument::fromJson(aRequest.body()).object();
-  std::vector<std::string> models;
-  for (const auto& model : body["models"].toArray()) {
-    models.push_back(model.toString().toStdString());
+  const auto order = ReadOrder(aRequest.body());
+  if (!order) {
+    WriteReply(aSocket, 400, R"({"error":{"code":"bad_order"}})");
+    return;
   }
-  const auto fencing = std::uint64_t(body["fencing"].toInteger());
-  const int status = mModel.Order(fencing, models);
-  WriteReply(aSocket, status, mModel.StateJson());
+  WriteReply(aSocket, mModel.Execute(*order), mModel.StateJson());
+}
+
+void
+EngineServer::SetWeightStore(const Endpoint& aWeightStore)
+{
+  const auto base =
+    "http://" + QString::fromStdString(ToText(aWeightStore)) + "/weights/";
+  mModel.Orders().mFetch = [this, base](const EngineOrder& aOrder,
+                                        const std::function<void()>& aDone) {
+    const auto name = aOrder.mModel.Value() + "-" + aOrder.mVersion;
+    FetchWeights(QUrl(base + QString::fromStdString(name)), aDone);
+  };
+}
+
+void
+EngineServer::FetchWeights(const QUrl& aUrl, const std::function<void()>& aDone)
+{
+  auto* reply = mNetwork.get(QNetworkRequest(aUrl));
+  QObject::connect(
+    reply, &QNetworkReply::finished, this, [this, reply, aUrl, aDone] {
+      reply->deleteLater();
+      if (reply->error() == QNetworkReply::NoError) {
+        aDone();
+        return;
+      }
+      mScheduler.Post(kWeightRetry,
+                      [this, aUrl, aDone] { FetchWeights(aUrl, aDone); });
+    });
 }
 
 void
--- a/Tests/StandIns/EngineServer.h
+++ b/Tests/StandIns/EngineServer.h
@@ -6,6 +6,7 @@
 #include "StandIns/EngineModel.h"
 
 #include <QHttpServer>
+#include <QNetworkAccessManager>
 #include <QPointer>
 #include <QTcpServer>
 #include <QTcpSocket>
@@ -50,6 +51,9 @@
   void SetFaults(ChooseFault aChoose) { mChooseFault = std::move(aChoose); }
   /// Answers each POST /v1/responses with this status; 0 means normal.
   void SetRefusal(int aStatus) { mRefusal = aStatus; }
+  /// Loads take their weights from there: GET /weights/<model>-<version>,
+  /// again after a refusal.
+  void SetWeightStore(const Endpoint& aWeightStore);
   EngineModel& Model() { return mModel; }
 
 private:
@@ -68,6 +72,7 @@
   void HandleResponse(const QHttpServerRequest& aRequest,
                       const QString& aId,
                       QTcpSocket& aSocket);
+  void FetchWeights(const QUrl& aUrl, const std::function<void()>& aDone);
   void AddReader(Generation& aGeneration,
                  std::int64_t aNext,
                  QTcpSocket& aSocket);
@@ -84,6 +89,7 @@
   std::list<Reader> mReaders;
   std::map<std::string, std::uint32_t> mConnections;
   std::unique_ptr<QHttpServer> mHttp;
+  QNetworkAccessManager mNetwork;
   RandomSource mRandom{ 1 };
 };
 
--- a/Tests/Support/FakeEngine.cxx
+++ b/Tests/StandIns/OrderedEngine.cxx
@@ -1,10 +1,10 @@
-#include "Support/FakeEngine.h"
+#include "StandIns/OrderedEngine.h"
 
 #include <algorithm>
 
 namespace ragwortdeck {
 
-FakeEngine::FakeEngine(VirtualScheduler& aScheduler, Options aOptions)
+OrderedEngine::OrderedEngine(Scheduler& aScheduler, Options aOptions)
   : mScheduler(aScheduler)
   , mOptions(aOptions)
 {
@@ -12,7 +12,7 @@
 }
 
 LoadedModel*
-FakeEngine::Find(const EngineOrder& aOrder)
+OrderedEngine::Find(const EngineOrder& aOrder)
 {
   for (auto& loaded : mState.mModels) {
     if (loaded.mModel == aOrder.mModel && loaded.mVersion == aOrder.mVersion) {
@@ -23,14 +23,14 @@
 }
 
 std::uint64_t
-FakeEngine::Free() const
+OrderedEngine::Free() const
 {
   const auto used = mOptions.mModelBytes * mState.mModels.size();
   return mOptions.mMemoryBytes - std::min(used, mOptions.mMemoryBytes);
 }
 
 EngineState
-FakeEngine::State() const
+OrderedEngine::State() const
 {
   auto state = mState;
   state.mMemoryFreeBytes = Free();
@@ -38,7 +38,7 @@
 }
 
 bool
-FakeEngine::HasReady(const ModelName& aModel) const
+OrderedEngine::HasReady(const ModelName& aModel) const
 {
   return std::any_of(mState.mModels.begin(),
                      mState.mModels.end(),
@@ -48,7 +48,7 @@
 }
 
 void
-FakeEngine::Die()
+OrderedEngine::Die()
 {
   mDead = true;
   ++mLife;
@@ -57,8 +57,14 @@
   mSeen.clear();
 }
 
+void
+OrderedEngine::Preload(const ModelName& aModel, const std::string& aVersion)
+{
+  mState.mModels.push_back({ aModel, aVersion, true, {} });
+}
+
 OrderReport
-FakeEngine::Receive(const EngineOrder& aOrder)
+OrderedEngine::Receive(const EngineOrder& aOrder)
 {
   if (mOptions.mChecksFencing && aOrder.mFencing < mState.mFencing) {
     ++mStaleOrders;
@@ -99,7 +105,7 @@
 }
 
 void
-FakeEngine::Load(const EngineOrder& aOrder)
+OrderedEngine::Load(const EngineOrder& aOrder)
 {
   if (Find(aOrder) != nullptr) {
     return;
@@ -108,16 +114,25 @@
   if (mOnLoad) {
     mOnLoad(mOptions.mModelBytes);
   }
-  mScheduler.Post(mOptions.mLoadTime, [this, aOrder, life = mLife] {
-    auto* loaded = life == mLife ? Find(aOrder) : nullptr;
-    if (loaded != nullptr) {
-      loaded->mReady = true;
-    }
-  });
+  const auto done = [this, aOrder, life = mLife] { OnLoaded(aOrder, life); };
+  if (mFetch) {
+    mFetch(aOrder, done);
+  } else {
+    mScheduler.Post(mOptions.mLoadTime, done);
+  }
+}
+
+void
+OrderedEngine::OnLoaded(const EngineOrder& aOrder, std::uint64_t aLife)
+{
+  auto* loaded = aLife == mLife ? Find(aOrder) : nullptr;
+  if (loaded != nullptr) {
+    loaded->mReady = true;
+  }
 }
 
 void
-FakeEngine::Unload(const EngineOrder& aOrder)
+OrderedEngine::Unload(const EngineOrder& aOrder)
 {
   std::erase_if(mState.mModels, [&aOrder](const LoadedModel& aLoaded) {
     return aLoaded.mModel == aOrder.mModel &&
--- a/Tests/Support/FakeEngine.h
+++ b/Tests/StandIns/OrderedEngine.h
@@ -1,8 +1,7 @@
 #pragma once
 
 #include "Core/EngineOrder.h"
-#include "Core/RandomSource.h"
-#include "Support/VirtualScheduler.h"
+#include "Core/Scheduler.h"
 
 #include <functional>
 #include <map>
@@ -10,8 +9,9 @@
 
 namespace ragwortdeck {
 
-/// \brief An engine that executes orders in virtual time, without a network.
-class FakeEngine
+/// \brief What orders act on in an engine: models, adapters, role and fencing
+/// token. Without a network, in any scheduler's time.
+class OrderedEngine
 {
 public:
   struct Options
@@ -22,8 +22,10 @@
     std::uint64_t mModelBytes = 40;
   };
 
-  FakeEngine(VirtualScheduler& aScheduler, Options aOptions);
+  OrderedEngine(Scheduler& aScheduler, Options aOptions);
 
+  /// Adds a model that is ready, as at the start of an engine.
+  void Preload(const ModelName& aModel, const std::string& aVersion);
   OrderReport Receive(const EngineOrder& aOrder);
   EngineState State() const;
   bool HasReady(const ModelName& aModel) const;
@@ -32,6 +34,9 @@
   void Restart() { mDead = false; }
   bool IsDead() const { return mDead; }
 
+  /// Fetches the weights of a load and reports when they are there. Without
+  /// it, a load ends after the load time.
+  std::function<void(const EngineOrder&, std::function<void()>)> mFetch;
   /// Called when a load begins, with its bytes.
   std::function<void(std::uint64_t)> mOnLoad;
   /// Called after a model was unloaded.
@@ -40,11 +45,12 @@
 
 private:
   void Load(const EngineOrder& aOrder);
+  void OnLoaded(const EngineOrder& aOrder, std::uint64_t aLife);
   void Unload(const EngineOrder& aOrder);
   std::uint64_t Free() const;
   LoadedModel* Find(const EngineOrder& aOrder);
 
-  VirtualScheduler& mScheduler;
+  Scheduler& mScheduler;
   Options mOptions;
   EngineState mState;
   std::set<std::string> mSeen;
--- a/Tests/StandIns/ServiceServer.cxx
+++ b/Tests/StandIns/ServiceServer.cxx
@@ -58,6 +58,11 @@
     WriteReply(aSocket, 200, RunsJson());
     return;
   }
+  if (path == "/load") {
+    // An ORCA load report; a call lasts only for the reply delay.
+    WriteReply(aSocket, 200, R"({"named_metrics":{"running":0}})");
+    return;
+  }
   if (mDrops > 0) {
     --mDrops;
     aSocket.abort();
--- a/Tests/Targets/SseFuzzTest.cxx
+++ b/Tests/Targets/SseFuzzTest.cxx
@@ -137,6 +137,18 @@
       R"({"named_metrics":{"memory_tokens":1000,"running":3}})");
     CPPUNIT_ASSERT_EQUAL(std::uint64_t(1000), report.value().mMemoryTokens);
     CPPUNIT_ASSERT_EQUAL(3U, report.value().mRunning);
+    CPPUNIT_ASSERT(!report.value().mReadyModels);
+    Section("models that the report lists", [] {
+      const auto listed = ParseLoadReport(
+        R"({"named_metrics":{"ready_models":1,"model.a":1,"model.b":0}})");
+      CPPUNIT_ASSERT(listed.value().mReadyModels ==
+                     std::vector<ModelName>{ ModelName("a") });
+      // An engine without a model must not be taken for one that lists none.
+      const auto none =
+        ParseLoadReport(R"({"named_metrics":{"ready_models":0}})");
+      CPPUNIT_ASSERT(none.value().mReadyModels.has_value());
+      CPPUNIT_ASSERT(none.value().mReadyModels->empty());
+    });
     CPPUNIT_ASSERT(!ParseLoadReport("{}"));
     CPPUNIT_ASSERT(!ParseLoadReport(R"({"named_metrics":{"running":-1}})"));
     CPPUNIT_ASSERT(!ParseLoadReport(R"({"named_metrics":{"running":"3"}})"));
--- a/Utilities/Site/caller.py
+++ b/Utilities/Site/caller.py
@@ -17,11 +17,11 @@
     """One streamed answer, recorded in a history."""
 
     def __init__(self, site, history, name, team, kind, tokens, hosts,
-                 endpoint=None):
+                 endpoint=None, model="drafts"):
         super().__init__(daemon=True)
         self.site, self.history, self.request = site, history, name
         self.team, self.kind, self.tokens = team, kind, tokens
-        self.hosts = hosts
+        self.hosts, self.model = hosts, model
         self.endpoint = endpoint or site.router_address
         self.response, self.sequence = None, -1
         self.ended = False
@@ -52,7 +52,7 @@
                              headers=headers)
             else:
                 link.request("POST", "/v1/responses", json.dumps({
-                    "model": "drafts", "input": self.request, "stream": True,
+                    "model": self.model, "input": self.request, "stream": True,
                     "max_output_tokens": self.tokens,
                     "metadata": {"kind": self.kind,
                                  "prompt": self.request}}), headers)
--- a/Utilities/Site/run_scenario.py
+++ b/Utilities/Site/run_scenario.py
@@ -48,13 +48,14 @@
 
     # Load.
 
-    def do_streams(self, count, tokens, kind="guide", team=TEAM, hosts=None):
+    def do_streams(self, count, tokens, kind="guide", team=TEAM, hosts=None,
+                   model="drafts"):
         hosts = hosts or self.site.entry_hosts
         for n in range(count):
             turn = n % len(hosts)
             stream = caller.Stream(
                 self.site, self.history, f"r{len(self.streams) + 1}", team,
-                kind, tokens, hosts[turn:] + hosts[:turn])
+                kind, tokens, hosts[turn:] + hosts[:turn], model=model)
             self.streams.append(stream)
             stream.start()
 
@@ -178,6 +179,51 @@
         text = self.site.ctl("status", self.site.control_address(host))
         return int(text.split("table version ")[1].split()[0].rstrip(","))
 
+    def lease_holder(self):
+        """The holder on which all running hosts agree, or None."""
+        holders = set()
+        for host in self.site.entry_hosts:
+            if self.process(f"control-{host}").running():
+                text = self.site.ctl("status", "--json",
+                                     self.site.control_address(host))
+                holders.add(json.loads(text)["lease_holder"])
+        return holders.pop() if len(holders) == 1 else None
+
+    def do_wait_lease(self, other_than=None):
+        sites.wait_for("a lease holder", lambda: self.lease_holder() not in (
+            None, "", other_than), STEP_TIMEOUT_S)
+
+    def do_kill_lease_holder(self):
+        """Kills the holder and waits until another host has the lease."""
+        self.do_wait_lease()
+        holder = self.lease_holder()
+        self.do_kill(f"control-{holder}")
+        self.do_wait_lease(holder)
+        self.do_start(f"control-{holder}")
+
+    def loaded(self, model, version):
+        """Engines that have the version of the model, with readiness."""
+        found = {}
+        for engine in self.site.engines:
+            text = sites.http(
+                "GET",
+                f"http://{self.site.target_address(engine)}/state")[2]
+            for entry in json.loads(text)["models"]:
+                if (entry["model"], entry["version"]) == (model, version):
+                    found[engine] = entry["ready"]
+        return found
+
+    def do_wait_loaded(self, model, version, replicas):
+        sites.wait_for(
+            f"{replicas} replicas of {model} {version}",
+            lambda: sum(self.loaded(model, version).values()) == replicas,
+            STEP_TIMEOUT_S)
+
+    def do_wait_unloaded(self, model, version):
+        sites.wait_for(f"no replica of {model} {version}",
+                       lambda: not self.loaded(model, version),
+                       STEP_TIMEOUT_S)
+
     def do_pause(self, ms):
         time.sleep(ms / 1000)
 
--- a/Utilities/Site/scenario.py
+++ b/Utilities/Site/scenario.py
@@ -11,7 +11,7 @@
 # Verb of a step and the keys that it takes; a trailing "?" marks an optional
 # key.
 VERBS = {
-    "streams": ("count", "tokens", "kind?", "team?", "hosts?"),
+    "streams": ("count", "tokens", "kind?", "team?", "hosts?", "model?"),
     "order": ("key", "host", "times?"),
     "kill": ("process",),
     "stop": ("process",),
@@ -29,6 +29,10 @@
     "wait-tokens": ("count",),
     "wait-table": ("hosts?",),
     "wait-streams": (),
+    "wait-lease": ("other_than?",),
+    "kill-lease-holder": (),
+    "wait-loaded": ("model", "version", "replicas"),
+    "wait-unloaded": ("model", "version"),
     "pause": ("ms",),
     "expect-runs": ("key", "most"),
     "expect-completed": ("least",),
@@ -38,7 +42,7 @@
 }
 TOP = ("name", "seed?", "site", "steps", "expect")
 SITE = ("entry_hosts", "engines", "services?", "failure_domains?", "engine?",
-        "links?")
+        "links?", "spares?", "control?")
 
 
 class ScenarioError(Exception):
--- a/Utilities/Site/site_processes.py
+++ b/Utilities/Site/site_processes.py
@@ -137,7 +137,7 @@
     def __init__(self, entry_hosts=3, engines=3, services=1,
                  failure_domains=("nadia", "hooghly", "bardhaman"),
                  engine=None, router=None, control=None, ctl=None,
-                 links=(), build="build"):
+                 links=(), spares=0, build="build"):
         self.build = pathlib.Path(build)
         self.folder = pathlib.Path(tempfile.mkdtemp(prefix="ragwort-site-"))
         self.domains = list(failure_domains)
@@ -148,6 +148,8 @@
         self.router_settings = router or {}
         self.control_settings = control or {}
         self.ctl_settings = ctl or {}
+        # Engines without a model; they are listed last.
+        self.spares = self.engines[len(self.engines) - spares:]
         # Targets that routers reach through a link with faults.
         self.links = list(links)
         self.processes = {}
@@ -156,7 +158,8 @@
         for name in self.engines:
             self.add(name, "ragwort-standin-engine",
                      {"listen": self.target_address(name),
-                      "models": ["drafts"], **self.engine_settings})
+                      "models": self.models_of(name),
+                      **self.engine_settings})
         for name in self.services:
             self.add(name, "ragwort-standin-service",
                      {"listen": self.target_address(name)})
@@ -180,7 +183,7 @@
                           "state": "live",
                           "checks_fencing": "true"}
                 if role == "engine":
-                    labels["model"] = "drafts"
+                    labels["model"] = ",".join(self.models_of(name))
                 if role == "service":
                     labels["model"] = "orders"
                 address = (self.router_address(name) if role == "router"
@@ -188,6 +191,9 @@
                 entries.append({"targets": [address], "labels": labels})
         return entries
 
+    def models_of(self, engine):
+        return [] if engine in self.spares else ["drafts"]
+
     def link_of(self, target):
         """Where routers reach the target: its link, or the target itself."""
         if target in self.links:
