Control, Filters: Send loads without the view, and record router events

Cause of the first part: each load report published a whole SiteView, table included, to the credit owner and the router: encoded, copied and decoded up to 20 times a second. A report that changes nothing but the load now goes to the credit owner and the router as a small message. Ruled out: publishing less often, which would age the loads that decisions rest on. The router asks an engine for its load itself only while no report comes from control.

Cause of the second part: the router recorded nothing, and events_fetch to it was not answered, so that the time line had no requests in it. It now records requests, attempts, first tokens, stalls, resumes, cancels and actions, and answers through control. ragwort-ctl timeline takes addresses and merges what live hosts answer.

--- a/Source/Control/ControlCore.cxx
+++ b/Source/Control/ControlCore.cxx
@@ -23,12 +23,14 @@
   : mScheduler(aScheduler)
   , mSettings(std::move(aSettings))
   , mHooks(std::move(aHooks))
-  , mDirectory(aScheduler,
-               mSettings.mHost,
-               [this] {
-                 mLoads.OnDirectory();
-                 SchedulePublish();
-               })
+  , mDirectory(
+      aScheduler,
+      mSettings.mHost,
+      [this] {
+        mLoads.OnDirectory();
+        SchedulePublish();
+      },
+      [this](const TargetId& aTarget) { OnLoad(aTarget); })
   , mMembership(aScheduler,
                 aRandom.Split(),
                 { mSettings.mHost,
@@ -226,9 +228,36 @@
 ControlCore::Publish()
 {
   mPublishPending = false;
+  // The view carries the newest reports.
+  mNewLoads.clear();
   mHooks.mPublish(View());
 }
 
+void
+ControlCore::OnLoad(const TargetId& aTarget)
+{
+  if (mNewLoads.empty()) {
+    mLoadsTimer =
+      mScheduler.After(mSettings.mPublishDelay, [this] { PublishLoads(); });
+  }
+  mNewLoads.insert(aTarget);
+}
+
+void
+ControlCore::PublishLoads()
+{
+  std::map<TargetId, LoadReport> reports;
+  for (const auto& target : mNewLoads) {
+    if (const auto report = mDirectory.LoadOf(target)) {
+      reports.emplace(target, *report);
+    }
+  }
+  mNewLoads.clear();
+  if (!reports.empty()) {
+    mHooks.mOnLoads(reports);
+  }
+}
+
 SiteView
 ControlCore::View() const
 {
--- a/Source/Control/ControlCore.h
+++ b/Source/Control/ControlCore.h
@@ -7,6 +7,8 @@
 #include "Peer/ControlMessages.h"
 #include "Peer/PeerMessage.h"
 
+#include <set>
+
 namespace ragwortdeck {
 
 struct ControlCoreSettings
@@ -38,6 +40,8 @@
                        const PeerMessage& aMessage)>
       mSend;
     std::function<void(const SiteView&)> mPublish;
+    /// Reports that changed while the rest of the view stayed as it is.
+    std::function<void(const std::map<TargetId, LoadReport>&)> mOnLoads;
     /// Live hosts changed; sorted by id.
     std::function<void(const std::vector<HostId>&)> mOnLiveHosts;
     /// See LoadSharing::Hooks.
@@ -89,6 +93,8 @@
   void UpdateMembers();
   void SchedulePublish();
   void Publish();
+  void OnLoad(const TargetId& aTarget);
+  void PublishLoads();
 
   Scheduler& mScheduler;
   ControlCoreSettings mSettings;
@@ -98,9 +104,12 @@
   TableSpread mSpread;
   LoadSharing mLoads;
   bool mPublishPending = false;
+  /// Targets whose reports are newer than the last view.
+  std::set<TargetId> mNewLoads;
   bool mMembersPending = false;
   std::vector<HostId> mLiveHosts;
   TimerHandle mPublishTimer;
+  TimerHandle mLoadsTimer;
   TimerHandle mMembersTimer;
 };
 
--- a/Source/Control/ControlProcess.cxx
+++ b/Source/Control/ControlProcess.cxx
@@ -86,6 +86,10 @@
         TakeRouterMessage(aMessage);
       },
       [this] {
+        if (mCore) {
+          // The last published view may hold old load reports.
+          mRouterLink->Publish(mCore->View());
+        }
         mRouterLink->Send(PeerMessage::Of(LiveHostsMessage{ mLiveHosts }));
       } });
   if (!link) {
@@ -134,6 +138,10 @@
         mNetwork->Send(aTo, aAddress, aMessage);
       },
       [this](const SiteView& aView) { Publish(aView); },
+      [this](const std::map<TargetId, LoadReport>& aReports) {
+        mCredits->OnLoadReports(aReports);
+        mRouterLink->Send(PeerMessage::Of(LoadReportsMessage{ aReports }));
+      },
       [this](const std::vector<HostId>& aHosts) {
         mLiveHosts = aHosts;
         mCredits->OnLiveHosts(aHosts);
--- a/Source/Control/CreditRouting.cxx
+++ b/Source/Control/CreditRouting.cxx
@@ -39,6 +39,14 @@
   }
 }
 
+void
+CreditRouting::OnLoadReports(const std::map<TargetId, LoadReport>& aReports)
+{
+  for (const auto& [target, report] : aReports) {
+    mOwner.OnLoadReport(target, report);
+  }
+}
+
 void
 CreditRouting::OnLiveHosts(const std::vector<HostId>& aHosts)
 {
--- a/Source/Control/CreditRouting.h
+++ b/Source/Control/CreditRouting.h
@@ -21,6 +21,7 @@
   CreditRouting(Scheduler& aScheduler, HostId aSelf, Hooks aHooks);
 
   void OnView(const SiteView& aView);
+  void OnLoadReports(const std::map<TargetId, LoadReport>& aReports);
   void OnLiveHosts(const std::vector<HostId>& aHosts);
   /// A credit message of the router or of a peer; false for other types.
   bool OnRouterMessage(const PeerMessage& aMessage);
--- a/Source/Control/EventAnswers.cxx
+++ b/Source/Control/EventAnswers.cxx
@@ -29,20 +29,10 @@
                " ignored: " + fetch.error().mMessage);
     return;
   }
-  auto snapshot = mRecorder.Snapshot();
-  auto& events = snapshot.mEvents;
-  std::erase_if(events, [&](const Event& aEvent) {
-    return aEvent.mTime < fetch.value().mFrom;
-  });
-  if (events.size() > EventsMessage::kMaxEvents) {
-    const auto excess = events.size() - EventsMessage::kMaxEvents;
-    snapshot.mLost += excess;
-    events.erase(events.begin(), events.begin() + std::ptrdiff_t(excess));
-  }
+  auto events = CollectEvents(mRecorder, fetch.value().mFrom);
   const auto routers = std::uint32_t(mHooks.mRouterCount());
-  mHooks.mReply(aMessage.mFrom,
-                PeerMessage::Of(
-                  EventsMessage{ std::move(events), snapshot.mLost, routers }));
+  events.mPending = routers;
+  mHooks.mReply(aMessage.mFrom, PeerMessage::Of(events));
   if (routers > 0) {
     mAsked[aMessage.mFrom] = mScheduler.Now();
     mHooks.mSendToRouters(aMessage);
--- a/Source/Controllers/HostDirectory.cxx
+++ b/Source/Controllers/HostDirectory.cxx
@@ -7,6 +7,7 @@
 namespace {
 
 const Log sLog("hosts");
+
 HostRole
 RoleOf(const MarkedHost& aMark)
 {
@@ -16,14 +17,26 @@
   return aMark.mRole == "service" ? HostRole::kService : HostRole::kEntry;
 }
 
+/// True when the reports differ in nothing that the view's other readers need:
+/// which models are ready, and the sizes that shares are computed from.
+bool
+DifferOnlyInLoad(const LoadReport& aLeft, const LoadReport& aRight)
+{
+  return aLeft.mMemoryTokens == aRight.mMemoryTokens &&
+         aLeft.mMaxBatch == aRight.mMaxBatch &&
+         aLeft.mReadyModels == aRight.mReadyModels;
+}
+
 } // namespace
 
 HostDirectory::HostDirectory(Scheduler& aScheduler,
                              HostId aSelf,
-                             std::function<void()> aOnChange)
+                             std::function<void()> aOnChange,
+                             std::function<void(const TargetId&)> aOnLoad)
   : mScheduler(aScheduler)
   , mSelf(std::move(aSelf))
   , mOnChange(std::move(aOnChange))
+  , mOnLoad(std::move(aOnLoad))
 {
 }
 
@@ -130,15 +143,32 @@
   if (it != mLoads.end() && it->second.mMeasured >= measured) {
     return;
   }
+  const bool onlyLoad =
+    it != mLoads.end() && DifferOnlyInLoad(it->second.mReport, aLoad);
   mLoads[aTarget] = { aLoad, measured };
-  mOnChange();
+  if (onlyLoad) {
+    mOnLoad(aTarget);
+  } else {
+    mOnChange();
+  }
+}
+
+std::optional<LoadReport>
+HostDirectory::LoadOf(const TargetId& aTarget) const
+{
+  const auto it = mLoads.find(aTarget);
+  if (it == mLoads.end()) {
+    return std::nullopt;
+  }
+  auto report = it->second.mReport;
+  report.mAgeMicros = (mScheduler.Now() - it->second.mMeasured).count();
+  return report;
 }
 
 std::map<TargetId, Target>
 HostDirectory::Targets() const
 {
   std::map<TargetId, Target> targets;
-  const auto now = mScheduler.Now();
   for (const auto& [id, host] : mMerged) {
     if (host.mRole == HostRole::kEntry) {
       continue;
@@ -156,10 +186,8 @@
     } else if (mUnreachable.contains(target.mId)) {
       target.mState = TargetState::kDown;
     }
-    const auto load = mLoads.find(target.mId);
-    if (load != mLoads.end()) {
-      target.mLoad = load->second.mReport;
-      target.mLoad.mAgeMicros = (now - load->second.mMeasured).count();
+    if (const auto load = LoadOf(target.mId)) {
+      target.mLoad = *load;
       // The engine's own word is newer than the host list, which lags and does
       // not follow orders.
       if (target.mLoad.mReadyModels) {
--- a/Source/Controllers/HostDirectory.h
+++ b/Source/Controllers/HostDirectory.h
@@ -4,6 +4,7 @@
 #include "Core/Scheduler.h"
 
 #include <functional>
+#include <optional>
 #include <set>
 
 namespace ragwortdeck {
@@ -37,10 +38,12 @@
 class HostDirectory
 {
 public:
-  /// aOnChange is called after each change of the merged result.
+  /// aOnChange is called after each change of the merged result; aOnLoad after
+  /// a load report that changes nothing but the load.
   HostDirectory(Scheduler& aScheduler,
                 HostId aSelf,
-                std::function<void()> aOnChange);
+                std::function<void()> aOnChange,
+                std::function<void(const TargetId&)> aOnLoad);
 
   /// Replaces the host list. An empty list never replaces a list with hosts:
   /// it is far more likely to be a fault of the list than an empty site.
@@ -51,6 +54,9 @@
   /// A load report, measured aAge ago; an older one than known is ignored.
   void OnLoad(const TargetId& aTarget, const LoadReport& aLoad, Duration aAge);
 
+  /// The newest report of a target, with its age as of now; none before the
+  /// first.
+  std::optional<LoadReport> LoadOf(const TargetId& aTarget) const;
   /// Engines and services. Loads carry their age as of now.
   std::map<TargetId, Target> Targets() const;
   /// Entry hosts in order of id: all listed ones, also leaving ones, since
@@ -75,6 +81,7 @@
   Scheduler& mScheduler;
   HostId mSelf;
   std::function<void()> mOnChange;
+  std::function<void(const TargetId&)> mOnLoad;
   std::map<std::string, DirectoryHost> mList;
   HostMarks mMarks;
   std::map<std::string, DirectoryHost> mMerged;
--- a/Source/Ctl/CtlCommands.h
+++ b/Source/Ctl/CtlCommands.h
@@ -1,6 +1,9 @@
 #pragma once
 
 #include "Ctl/CtlContext.h"
+#include "Events/Event.h"
+
+#include <functional>
 
 namespace ragwortdeck {
 
@@ -24,4 +27,12 @@
 std::vector<CtlCommand>
 PeerCommands();
 
+/// Asks the control processes at the addresses among the words for their events
+/// and those of their routers. Returns an exit code; what did answer is passed
+/// to aOnEvents all the same.
+int
+FetchEvents(CtlContext& aContext,
+            const CtlArguments& aArguments,
+            const std::function<void(const std::vector<Event>&)>& aOnEvents);
+
 } // namespace ragwortdeck
--- a/Source/Ctl/PeerCommands.cxx
+++ b/Source/Ctl/PeerCommands.cxx
@@ -193,8 +193,26 @@
 }
 
 int
-FetchEvents(CtlContext& aContext, const CtlArguments& aArguments)
+PrintEvents(CtlContext& aContext, const CtlArguments& aArguments)
 {
+  return FetchEvents(
+    aContext, aArguments, [&](const std::vector<Event>& aEvents) {
+      for (const auto& event : aEvents) {
+        aContext.mOut << ToJson(event) << "\n";
+      }
+    });
+}
+
+} // namespace
+
+int
+FetchEvents(CtlContext& aContext,
+            const CtlArguments& aArguments,
+            const std::function<void(const std::vector<Event>&)>& aOnEvents)
+{
+  if (aArguments.mWords.empty()) {
+    return kExitSuccess;
+  }
   EventsFetchMessage fetch;
   fetch.mFrom = HybridTime::FromWall(
     WallTime(std::chrono::milliseconds(aArguments.mFromMs)));
@@ -205,19 +223,15 @@
                 [&](const PeerAnswers& aAnswers) {
                   for (const auto& answer : aAnswers.mMessages) {
                     const auto events = answer.As<EventsMessage>();
-                    if (!events) {
+                    if (events) {
+                      aOnEvents(events.value().mEvents);
+                    } else {
                       Fail(aContext, kExitFailure, events.error().mMessage);
-                      continue;
-                    }
-                    for (const auto& event : events.value().mEvents) {
-                      aContext.mOut << ToJson(event) << "\n";
                     }
                   }
                 });
 }
 
-} // namespace
-
 std::vector<CtlCommand>
 PeerCommands()
 {
@@ -237,7 +251,7 @@
              1,
              kMaxPeers,
              false,
-             FetchEvents } };
+             PrintEvents } };
 }
 
 } // namespace ragwortdeck
--- a/Source/Ctl/TimelineCommands.cxx
+++ b/Source/Ctl/TimelineCommands.cxx
@@ -36,8 +36,10 @@
 int
 Timeline(CtlContext& aContext, const CtlArguments& aArguments)
 {
-  if (aArguments.mInputs.empty()) {
-    return Fail(aContext, kExitUsage, "expected --input FILE at least once");
+  if (aArguments.mInputs.empty() && aArguments.mWords.empty()) {
+    return Fail(aContext,
+                kExitUsage,
+                "expected an address or --input FILE at least once");
   }
   EventMerger merger(FilterOf(aArguments));
   for (const auto& name : aArguments.mInputs) {
@@ -50,6 +52,11 @@
       return Fail(aContext, kExitFailure, added.error().mMessage);
     }
   }
+  // Hosts that do not answer leave a gap, and an exit code that says so.
+  const int code = FetchEvents(
+    aContext, aArguments, [&merger](const std::vector<Event>& aEvents) {
+      merger.Add(aEvents);
+    });
   const auto events = merger.Merged();
   if (aContext.mJson || aArguments.mFormat == "json") {
     aContext.mOut << TimelineRenderer::JsonLines(events);
@@ -58,7 +65,7 @@
   } else {
     aContext.mOut << TimelineRenderer::Text(events);
   }
-  return kExitSuccess;
+  return code;
 }
 
 } // namespace
@@ -66,13 +73,15 @@
 std::vector<CtlCommand>
 TimelineCommands()
 {
+  constexpr std::size_t kMaxPeers = 2000;
   return { { "timeline",
              "",
-             "--input FILE... [--request ID] [--host HOST] [--from-ms T] "
+             "[ADDRESS...] [--input FILE]... [--request ID] [--host HOST] "
+             "[--from-ms T] "
              "[--to-ms T] [--format text|json|html]",
-             "merge events from JSON-lines files",
-             0,
+             "merge the events of live hosts and of JSON-lines files",
              0,
+             kMaxPeers,
              false,
              Timeline } };
 }
--- a/Source/Filters/ControlLink.cxx
+++ b/Source/Filters/ControlLink.cxx
@@ -1,6 +1,7 @@
 #include "Filters/ControlLink.h"
 
 #include "Core/Log.h"
+#include "Peer/EventMessages.h"
 
 #include <vector>
 
@@ -14,7 +15,9 @@
 constexpr std::chrono::milliseconds kCreditPeriod{ 200 };
 
 PeerIdentity
-MakeIdentity(const Scheduler& aScheduler, const RouterSettings& aSettings)
+MakeIdentity(const Scheduler& aScheduler,
+             const RouterSettings& aSettings,
+             HybridClock& aClock)
 {
   PeerIdentity identity;
   identity.mHost = aSettings.mHost;
@@ -24,6 +27,10 @@
                     .count());
   identity.mKeys =
     std::make_shared<const KeyRing>(KeyRing::Create(aSettings.mKeys).value());
+  identity.mTime = [&aClock] { return aClock.Tick().mPacked; };
+  identity.mObserveTime = [&aClock](std::uint64_t aTime) {
+    aClock.Observe({ aTime });
+  };
   return identity;
 }
 
@@ -36,7 +43,7 @@
   : mRouter(aRouter)
   , mLink(aScheduler,
           RandomSource(RandomSource::SystemSeed()),
-          MakeIdentity(aScheduler, aSettings),
+          MakeIdentity(aScheduler, aSettings, aRouter.EventClock()),
           RouterLinkSettings{ aControl },
           MakeHooks())
 {
@@ -53,7 +60,12 @@
   hooks.mOnView = [this](std::shared_ptr<const SiteView> aView) {
     mRouter.SetView(std::move(aView));
   };
-  hooks.mOnMessage = [](const PeerMessage&) {};
+  hooks.mOnLoads = [this](const std::map<TargetId, LoadReport>& aReports) {
+    mRouter.OnLoadReports(aReports);
+  };
+  hooks.mOnMessage = [this](const PeerMessage& aMessage) {
+    OnMessage(aMessage);
+  };
   hooks.mOnConnected = [](bool aConnected) {
     if (aConnected) {
       kLog.Info("connected to control");
@@ -72,6 +84,21 @@
   return hooks;
 }
 
+void
+ControlLink::OnMessage(const PeerMessage& aMessage)
+{
+  if (!aMessage.Is<EventsFetchMessage>()) {
+    kLog.Warning("message " + aMessage.mType + " of control ignored");
+    return;
+  }
+  const auto fetch = aMessage.As<EventsFetchMessage>();
+  if (!fetch) {
+    kLog.Error("fetch of events ignored: " + fetch.error().mMessage);
+    return;
+  }
+  mLink.Send(CollectEvents(mRouter.Events(), fetch.value().mFrom));
+}
+
 void
 ControlLink::SendCreditRequests()
 {
--- a/Source/Filters/ControlLink.h
+++ b/Source/Filters/ControlLink.h
@@ -22,6 +22,7 @@
 
 private:
   RouterLink::Hooks MakeHooks();
+  void OnMessage(const PeerMessage& aMessage);
   void SendCreditRequests();
 
   Router& mRouter;
--- a/Source/Filters/LoadPoller.cxx
+++ b/Source/Filters/LoadPoller.cxx
@@ -24,12 +24,27 @@
   PollAll();
 }
 
+void
+LoadPoller::OnHeard(const TargetId& aTarget)
+{
+  mHeard[aTarget] = std::chrono::steady_clock::now();
+}
+
+bool
+LoadPoller::IsHeard(const TargetId& aTarget) const
+{
+  const auto it = mHeard.find(aTarget);
+  return it != mHeard.end() &&
+         std::chrono::steady_clock::now() - it->second < mPeriod * 2;
+}
+
 void
 LoadPoller::PollAll()
 {
   const auto view = mReadView();
   for (const auto& [id, target] : view->mTargets) {
-    if (target.mRole == TargetRole::kEngine && !mCalls.contains(id)) {
+    if (target.mRole == TargetRole::kEngine && !mCalls.contains(id) &&
+        !IsHeard(id)) {
       Poll(target);
     }
   }
--- a/Source/Filters/LoadPoller.h
+++ b/Source/Filters/LoadPoller.h
@@ -10,7 +10,8 @@
 
 namespace ragwortdeck {
 
-/// \brief Asks each engine of a view for its load, periodically.
+/// \brief Asks each engine of a view for its load, periodically, unless a
+/// report about it came in another way.
 class LoadPoller
 {
 public:
@@ -21,7 +22,11 @@
              ReadView aReadView,
              OnReport aOnReport);
 
+  /// A report came from the control process.
+  void OnHeard(const TargetId& aTarget);
+
 private:
+  bool IsHeard(const TargetId& aTarget) const;
   void PollAll();
   void Poll(const Target& aTarget);
 
@@ -30,6 +35,7 @@
   OnReport mOnReport;
   CurlMulti mCurl;
   QTimer mTimer;
+  std::map<TargetId, std::chrono::steady_clock::time_point> mHeard;
   /// Calls in flight; one per target at a time.
   std::map<TargetId, std::unique_ptr<CurlTransfer>> mCalls;
 };
--- a/Source/Filters/RelaySession.cxx
+++ b/Source/Filters/RelaySession.cxx
@@ -26,6 +26,19 @@
   return QJsonDocument(aObject).toJson(QJsonDocument::Compact).toStdString();
 }
 
+std::string_view
+OutcomeOf(const RelayEnd& aEnd)
+{
+  switch (aEnd.mKind) {
+    case RelayEndKind::kCompleted:
+      return "completed";
+    case RelayEndKind::kCallerGone:
+      return "caller_gone";
+    default:
+      return aEnd.mVerdict.mCode;
+  }
+}
+
 } // namespace
 
 RelaySession::RelaySession(RequestEnvironment& aEnvironment,
@@ -80,9 +93,23 @@
   return hooks;
 }
 
+void
+RelaySession::Record(EventType aType, std::string_view aVerdict) const
+{
+  const auto& attempt = mRelay.Current();
+  EventFields fields;
+  fields.mType = aType;
+  fields.mRequest = mContext.mId.Value();
+  fields.mTarget = attempt.mTarget.Value();
+  fields.mAttempt = attempt.mNumber;
+  fields.mVerdict = aVerdict;
+  mEnvironment.mShared.mRecorder.Record(fields);
+}
+
 void
 RelaySession::StartNew()
 {
+  Record(EventType::kRequestQueued);
   Submit();
 }
 
@@ -125,6 +152,7 @@
   mIsDispatched = true;
   const auto& target = std::get<TargetId>(aDecision);
   mRelay.Start(target, FirstTokenLimit());
+  Record(EventType::kRequestDispatched);
 }
 
 Duration
@@ -153,6 +181,9 @@
                    std::optional<std::int64_t> aStartingAfter)
 {
   CloseStream();
+  if (!aIsNew) {
+    Record(EventType::kStreamResumed);
+  }
   const auto view = mEnvironment.mShared.mView.Read();
   const auto found = view->mTargets.find(aAttempt.mTarget);
   if (found == view->mTargets.end()) {
@@ -194,6 +225,7 @@
 RelaySession::Cancel(const Attempt& aAttempt)
 {
   mEnvironment.mMetrics.OnCancelled();
+  Record(EventType::kRequestCancelled);
   mEnvironment.mCancels.Add(aAttempt);
 }
 
@@ -259,13 +291,17 @@
 RelaySession::CountToken()
 {
   const auto now = mEnvironment.mScheduler.Now();
+  const auto stall = mEnvironment.mShared.mSettings.mLimits.mStallThreshold;
   if (mTokens == 0) {
+    Record(EventType::kFirstToken);
     if (mContext.mRoute == Route::kCreateResponse) {
       mEnvironment.mMetrics.OnFirstToken(now - mContext.mArrived);
     }
   } else {
-    mEnvironment.mMetrics.OnToken(
-      now - mLastToken, mEnvironment.mShared.mSettings.mLimits.mStallThreshold);
+    mEnvironment.mMetrics.OnToken(now - mLastToken, stall);
+    if (now - mLastToken > stall) {
+      Record(EventType::kStreamStalled);
+    }
   }
   mLastToken = now;
   ++mTokens;
@@ -303,25 +339,23 @@
 {
   auto& metrics = mEnvironment.mMetrics;
   metrics.OnResumed(mRelay.Resumes());
+  Record(EventType::kRequestFinished, OutcomeOf(aEnd));
+  metrics.OnEnded(std::string(OutcomeOf(aEnd)));
   switch (aEnd.mKind) {
     case RelayEndKind::kCompleted:
       FinishTicket(DispatchOutcome::kCompleted);
-      metrics.OnEnded("completed");
       Complete();
       break;
     case RelayEndKind::kCallerGone:
       FinishTicket(DispatchOutcome::kCancelled);
-      metrics.OnEnded("caller_gone");
       break;
     case RelayEndKind::kGenerationLost:
     case RelayEndKind::kDeadlineExceeded:
       FinishTicket(DispatchOutcome::kTargetStalled);
-      metrics.OnEnded(aEnd.mVerdict.mCode);
       EndWithFailure(aEnd);
       break;
     case RelayEndKind::kFailed:
       FinishTicket(DispatchOutcome::kTargetFailed);
-      metrics.OnEnded(aEnd.mVerdict.mCode);
       mContext.mExchange->Refuse(aEnd.mVerdict, Headers());
       break;
   }
@@ -413,11 +447,13 @@
   auto& exchange = *mContext.mExchange;
   exchange.SetOnGone(nullptr);
   if (mRelay.IsBound()) {
+    Record(EventType::kRequestFinished, "cut_off");
     CloseStream();
     FinishTicket(DispatchOutcome::kCancelled);
     exchange.Flush();
     return;
   }
+  Record(EventType::kRequestFinished, "shutting_down");
   const bool wasSent = mIsDispatched;
   mRelay.OnCallerGone();
   auto verdict =
--- a/Source/Filters/RelaySession.h
+++ b/Source/Filters/RelaySession.h
@@ -46,6 +46,8 @@
   bool Replace(DispatchOutcome aOutcome);
   void Deliver(const Attempt& aAttempt, const EngineEvent& aEvent);
   void CountToken();
+  /// Records an event of this request and its current attempt.
+  void Record(EventType aType, std::string_view aVerdict = {}) const;
   void ReportTokens(bool aAll);
   void FinishTicket(DispatchOutcome aOutcome);
   void OnEnd(const RelayEnd& aEnd);
--- a/Source/Filters/RequestEnvironment.h
+++ b/Source/Filters/RequestEnvironment.h
@@ -2,6 +2,7 @@
 
 #include "Core/KeyRing.h"
 #include "Core/QtScheduler.h"
+#include "Events/EventRecorder.h"
 #include "Filters/ActionHook.h"
 #include "Filters/CancelQueue.h"
 #include "Filters/DispatcherHub.h"
@@ -40,6 +41,11 @@
     , mHub(std::move(aDispatcher))
     , mRetries(mSettings.mLimits.mRetryShare)
     , mActionHook(std::move(aActionHook))
+    , mClock([] {
+      return std::chrono::time_point_cast<Duration>(
+        std::chrono::system_clock::now());
+    })
+    , mRecorder(mSettings.mHost, "router", mClock, {})
   {
   }
 
@@ -49,6 +55,8 @@
   DispatcherHub mHub;
   RetryAllowance mRetries;
   const ActionHook mActionHook;
+  HybridClock mClock;
+  EventRecorder mRecorder;
   std::atomic<ShutdownPhase> mShutdown{ ShutdownPhase::kServing };
   std::function<std::string()> mMetricsText;
 };
--- a/Source/Filters/RequestPath.cxx
+++ b/Source/Filters/RequestPath.cxx
@@ -204,7 +204,18 @@
   }
   aContext.mId = NextId();
   aContext.mView = mEnvironment.mShared.mView.Read();
+  EventFields received;
+  received.mType = EventType::kRequestReceived;
+  received.mRequest = aContext.mId.Value();
+  received.mTableVersion = aContext.mView->mTable.mVersion;
+  received.mDetail = aContext.mRequest.mPath;
+  mEnvironment.mShared.mRecorder.Record(received);
   if (const auto refusal = Filter(aContext)) {
+    EventFields refused;
+    refused.mType = EventType::kRequestRefused;
+    refused.mRequest = aContext.mId.Value();
+    refused.mVerdict = refusal->mCode;
+    mEnvironment.mShared.mRecorder.Record(refused);
     Refuse(exchange, *refusal, { { "X-Request-Id", aContext.mId.Value() } });
     return;
   }
--- a/Source/Filters/Router.cxx
+++ b/Source/Filters/Router.cxx
@@ -100,6 +100,9 @@
         mShared.mHub.OnLoadReport(aTarget, aReport);
       });
   }
+  EventFields started;
+  started.mType = EventType::kProcessStarted;
+  mShared.mRecorder.Record(started);
   kLog.Info("listening on " + ToText(endpoint) + " with " +
             std::to_string(settings.mThreads) + " threads");
   return Success();
@@ -108,10 +111,28 @@
 void
 Router::SetView(std::shared_ptr<const SiteView> aView)
 {
+  const auto version = aView->mTable.mVersion;
+  if (version != mShared.mView.Read()->mTable.mVersion) {
+    EventFields applied;
+    applied.mType = EventType::kTableApplied;
+    applied.mTableVersion = version;
+    mShared.mRecorder.Record(applied);
+  }
   mShared.mView.Replace(aView);
   mShared.mHub.OnView(std::move(aView));
 }
 
+void
+Router::OnLoadReports(const std::map<TargetId, LoadReport>& aReports)
+{
+  for (const auto& [target, report] : aReports) {
+    mShared.mHub.OnLoadReport(target, report);
+    if (mPoller) {
+      mPoller->OnHeard(target);
+    }
+  }
+}
+
 std::string
 Router::MetricsText() const
 {
@@ -139,6 +160,9 @@
     CutOff("second signal");
     return;
   }
+  EventFields stopping;
+  stopping.mType = EventType::kProcessStopping;
+  mShared.mRecorder.Record(stopping);
   const auto& settings = mShared.mSettings;
   mOnStopped = std::move(aOnStopped);
   mShared.mShutdown = ShutdownPhase::kGrace;
--- a/Source/Filters/Router.h
+++ b/Source/Filters/Router.h
@@ -34,6 +34,9 @@
   /// Replaces the view that requests read, for example with one from the
   /// control process.
   void SetView(std::shared_ptr<const SiteView> aView);
+  /// Reports from the control process; the router asks an engine itself only
+  /// when none came for it for two load periods.
+  void OnLoadReports(const std::map<TargetId, LoadReport>& aReports);
   /// Starts a graceful shutdown; aOnStopped runs when the last stream has
   /// ended. A second call ends the remaining streams.
   void Shutdown(OnStopped aOnStopped);
@@ -41,6 +44,9 @@
   int OpenStreams() const;
   /// For the control link: credits, owners and cache events.
   DispatcherHub& Hub() { return mShared.mHub; }
+  const EventRecorder& Events() const { return mShared.mRecorder; }
+  /// The clock of the events; also for messages to and from control.
+  HybridClock& EventClock() { return mShared.mClock; }
   std::shared_ptr<const SiteView> View() const { return mShared.mView.Read(); }
 
 private:
--- a/Source/Filters/ServiceCaller.cxx
+++ b/Source/Filters/ServiceCaller.cxx
@@ -170,6 +170,7 @@
     // Abandons a slower hedged call.
     mCalls.clear();
     mEnvironment.mMetrics.OnEnded("completed");
+    Record(EventType::kRequestFinished, "completed");
     mContext.mExchange->Reply(aEnd.mStatus,
                               "application/json",
                               reply,
@@ -200,6 +201,7 @@
 void
 ServiceCaller::StartAction()
 {
+  Record(EventType::kActionIntent, {});
   const auto& request = mContext.mRequest;
   const ActionCall call{ mContext.mTeam,
                          mContext.mService + "/" + mContext.mOperation,
@@ -229,12 +231,14 @@
   if (mIsDone) {
     return;
   }
+  Record(EventType::kActionOutcome, ToText(aResult.mVerdict.mState));
   if (aResult.mVerdict.mState != RunState::kRan) {
     Refuse(aResult.mVerdict);
     return;
   }
   mIsDone = true;
   mEnvironment.mMetrics.OnEnded("completed");
+  Record(EventType::kRequestFinished, "completed");
   auto headers = VerdictHeaders(aResult.mVerdict);
   headers.emplace_back("X-Request-Id", mContext.mId.Value());
   const auto& outcome = aResult.mOutcome;
@@ -242,12 +246,26 @@
     outcome.mStatus, outcome.mContentType, outcome.mBody, std::move(headers));
 }
 
+void
+ServiceCaller::Record(EventType aType, std::string_view aVerdict) const
+{
+  const auto detail = mContext.mService + "/" + mContext.mOperation;
+  EventFields fields;
+  fields.mType = aType;
+  fields.mRequest = mContext.mId.Value();
+  fields.mAttempt = std::uint32_t(mAttempts);
+  fields.mVerdict = aVerdict;
+  fields.mDetail = detail;
+  mEnvironment.mShared.mRecorder.Record(fields);
+}
+
 void
 ServiceCaller::Refuse(const Verdict& aVerdict)
 {
   mIsDone = true;
   mCalls.clear();
   mEnvironment.mMetrics.OnEnded(aVerdict.mCode);
+  Record(EventType::kRequestFinished, aVerdict.mCode);
   mContext.mExchange->Refuse(aVerdict,
                              { { "X-Request-Id", mContext.mId.Value() } });
 }
--- a/Source/Filters/ServiceCaller.h
+++ b/Source/Filters/ServiceCaller.h
@@ -41,6 +41,7 @@
   void ArmHedge();
   void FinishAction(const ActionResult& aResult);
   void Refuse(const Verdict& aVerdict);
+  void Record(EventType aType, std::string_view aVerdict) const;
 
   RequestEnvironment& mEnvironment;
   RequestContext mContext;
--- a/Source/Peer/ControlMessages.h
+++ b/Source/Peer/ControlMessages.h
@@ -34,6 +34,17 @@
   MSGPACK_DEFINE_MAP(mView)
 };
 
+/// \brief Load reports that changed since the last view or message: control to
+/// router. Far smaller than a view, which holds the whole table.
+struct LoadReportsMessage
+{
+  static constexpr std::string_view kType = "load_reports";
+  std::map<TargetId, LoadReport> mReports;
+
+  bool operator==(const LoadReportsMessage&) const = default;
+  MSGPACK_DEFINE_MAP(mReports)
+};
+
 /// \brief Demand and use of one team or target since the last message.
 struct UsageEntry
 {
--- a/Source/Peer/EventMessages.h
+++ b/Source/Peer/EventMessages.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "Events/Event.h"
+#include "Events/EventRecorder.h"
 
 #include <string_view>
 #include <vector>
@@ -36,4 +36,9 @@
   MSGPACK_DEFINE_MAP(mEvents, mLost, mPending)
 };
 
+/// What the recorder still holds since aFrom, at most kMaxEvents; the oldest
+/// beyond that count as lost.
+EventsMessage
+CollectEvents(const EventRecorder& aRecorder, HybridTime aFrom);
+
 } // namespace ragwortdeck
--- a/Source/Peer/RouterLink.cxx
+++ b/Source/Peer/RouterLink.cxx
@@ -104,11 +104,20 @@
       mHooks.mOnLiveHosts(aHosts.mHosts);
     }
   };
+  const auto onLoads = [this](const LoadReportsMessage& aLoads) {
+    if (mHooks.mOnLoads) {
+      mHooks.mOnLoads(aLoads.mReports);
+    }
+  };
   if (aMessage.Is<SiteViewMessage>()) {
     TakeView(aMessage);
     return;
   }
   if (!Pass<CreditGrant>(kCreditGrantType, aMessage, mHooks.mOnCredits) &&
+      !Pass<LoadReportsMessage>(
+        LoadReportsMessage::kType,
+        aMessage,
+        std::function<void(const LoadReportsMessage&)>(onLoads)) &&
       !Pass<LiveHostsMessage>(
         LiveHostsMessage::kType,
         aMessage,
--- a/Source/Peer/RouterLink.h
+++ b/Source/Peer/RouterLink.h
@@ -35,6 +35,8 @@
     std::function<void(bool aConnected)> mOnConnected{};
     /// Each credit grant for this host; may be empty.
     std::function<void(const CreditGrant&)> mOnCredits{};
+    /// Load reports that are newer than the view; may be empty.
+    std::function<void(const std::map<TargetId, LoadReport>&)> mOnLoads{};
     /// The live entry hosts, on connect and on each change; may be empty.
     std::function<void(const std::vector<HostId>&)> mOnLiveHosts{};
   };
--- a/Source/Peer/RouterLinkServer.cxx
+++ b/Source/Peer/RouterLinkServer.cxx
@@ -38,10 +38,10 @@
     { [self](PeerConnection& aConnection) {
        ++self->mRouters;
        sLog.Info("router " + aConnection.PeerHost().Value() + " connected");
+       self->mHooks.mOnRouter();
        if (self->mHasView) {
          aConnection.Send(self->mView);
        }
-       self->mHooks.mOnRouter();
      },
       [self](PeerConnection& aConnection, const PeerMessage& aMessage) {
         self->Take(aConnection, aMessage);
--- a/Source/Peer/RouterLinkServer.h
+++ b/Source/Peer/RouterLinkServer.h
@@ -17,7 +17,8 @@
     std::function<void(const UsageMessage&)> mOnUsage;
     /// Each message of any other type.
     std::function<void(PeerConnection&, const PeerMessage&)> mOnMessage;
-    /// A router connected; it already has the newest view.
+    /// A router connected. A view that is published in the hook is the first
+    /// that it gets.
     std::function<void()> mOnRouter;
   };
 
--- a/Tests/Control/Fabric.cxx
+++ b/Tests/Control/Fabric.cxx
@@ -94,8 +94,15 @@
              host->mReverted |=
                aView.mTable.mVersion < host->mView.mTable.mVersion;
              host->mView = aView;
+             ++host->mViews;
              host->mInForce.try_emplace(aView.mTable.mVersion, mTime.Now());
            },
+           [host](const std::map<TargetId, LoadReport>& aReports) {
+             for (const auto& [target, report] : aReports) {
+               host->mView.mTargets.at(target).mLoad = report;
+               ++host->mLoadUpdates;
+             }
+           },
            [](const std::vector<HostId>&) {},
            [this, host](const Target& aTarget,
                         const LoadSharing::ReportCallback& aCallback) {
--- a/Tests/Control/Fabric.h
+++ b/Tests/Control/Fabric.h
@@ -51,6 +51,8 @@
   /// A view went back to an older table.
   bool mReverted = false;
   std::uint64_t mPolls = 0;
+  std::uint64_t mViews = 0;
+  std::uint64_t mLoadUpdates = 0;
 
   bool IsUp() const { return mCore != nullptr; }
 };
--- a/Tests/Controllers/TableReplicaTest.cxx
+++ b/Tests/Controllers/TableReplicaTest.cxx
@@ -106,7 +106,12 @@
   {
     VirtualScheduler scheduler;
     int changes = 0;
-    HostDirectory directory(scheduler, HostId("entry-1"), [&] { ++changes; });
+    int loads = 0;
+    HostDirectory directory(
+      scheduler,
+      HostId("entry-1"),
+      [&] { ++changes; },
+      [&](const TargetId&) { ++loads; });
     const DirectoryHost entry{
       "entry-1", HostRole::kEntry, "a:1", {}, false, {}, false
     };
@@ -122,6 +127,32 @@
       directory.OnReachable(TargetId("engine-1"), true);
       CPPUNIT_ASSERT(stateOf("engine-1") == TargetState::kLive);
     });
+    Section("a report that changes only the load is no change of the view",
+            [&] {
+              LoadReport report;
+              report.mMemoryTokens = 100;
+              directory.OnLoad(TargetId("engine-1"), report, {});
+              scheduler.Advance(std::chrono::seconds(1));
+              const auto before = changes;
+              report.mRunning = 7;
+              directory.OnLoad(TargetId("engine-1"), report, {});
+              CPPUNIT_ASSERT_EQUAL(before, changes);
+              CPPUNIT_ASSERT_EQUAL(1, loads);
+              CPPUNIT_ASSERT_EQUAL(
+                7U, directory.LoadOf(TargetId("engine-1"))->mRunning);
+            });
+    Section(
+      "a report that lists other models is one, and overrides the list", [&] {
+        LoadReport report;
+        report.mMemoryTokens = 100;
+        report.mReadyModels = { ModelName("m") };
+        scheduler.Advance(std::chrono::seconds(1));
+        const auto before = changes;
+        directory.OnLoad(TargetId("engine-1"), report, {});
+        CPPUNIT_ASSERT(changes > before);
+        CPPUNIT_ASSERT(directory.Targets().at(TargetId("engine-1")).mModels ==
+                       std::vector<ModelName>{ ModelName("m") });
+      });
     HostMarks marks{ 5, {} };
     Section("a leaving mark overrides the list and probes", [&] {
       marks.mMarks["engine-1"].mKind = MarkKind::kLeaving;
--- a/Utilities/Site/run_scenario.py
+++ b/Utilities/Site/run_scenario.py
@@ -266,6 +266,19 @@
         if self.conflicts == 0:
             raise sites.SiteError("no edit had a conflict")
 
+    def do_expect_events(self, types):
+        """The time line over all hosts has events of each type."""
+        text = self.site.ctl("timeline", "--format", "json",
+                             *[self.site.control_address(host)
+                               for host in self.site.entry_hosts])
+        events = [json.loads(line) for line in text.splitlines()]
+        times = [int(event["time"]) for event in events]
+        missing = set(types) - {event["type"] for event in events}
+        if missing:
+            raise sites.SiteError(f"no events of types {sorted(missing)}")
+        if times != sorted(times):
+            raise sites.SiteError("events out of order")
+
     def do_expect_work(self, target, most):
         """Bounds the generations that an engine has created so far."""
         text = sites.http(
--- a/Utilities/Site/scenario.py
+++ b/Utilities/Site/scenario.py
@@ -38,6 +38,7 @@
     "expect-completed": ("least",),
     "expect-verdict": ("key", "verdicts"),
     "expect-conflict": (),
+    "expect-events": ("types",),
     "expect-work": ("target", "most"),
 }
 TOP = ("name", "seed?", "site", "steps", "expect")
