Scenarios: Give every invariant something to judge

Cause: table-in-force, leaving-gets-no-work and graceful-stop were expected by one scenario each, but no record that they read was ever written, so they could not fail. Found in the read-through.

Change: at the end of a run the time line's table-applied and request-dispatched events and the cut-offs in the logs are added to the history, and an invariant without a record that it could judge fails the scenario.

Shown to fail: the history of host-leaves with the two engines' names exchanged is refused with three violations of leaving-gets-no-work.

--- a/Utilities/Site/run_scenario.py
+++ b/Utilities/Site/run_scenario.py
@@ -45,6 +45,26 @@
                 raise sites.SiteError(f"{step.place}: {step.verb}: {error}") \
                     from error
         self.do_wait_streams()
+        self.collect()
+
+    def collect(self):
+        """Adds what the processes observed to the history."""
+        live = [self.site.control_address(host)
+                for host in self.site.entry_hosts
+                if self.process(f"control-{host}").running()]
+        events = self.events(live) if live else []
+        for event in events:
+            if event["type"] == "table-applied" and \
+                    event["process"] == "control":
+                self.history.add_event("table_in_force", event, event["host"],
+                                       n=int(event["table_version"]))
+            elif event["type"] == "request-dispatched":
+                self.history.add_event("work_accepted", event,
+                                       event["target"], event["request"])
+        for name, process in self.site.processes.items():
+            for line in process.log.read_text().splitlines():
+                if "shutdown cut off" in line:
+                    self.history.add("cut_off", host=name, request=line)
 
     # Load.
 
@@ -224,11 +244,9 @@
                        lambda: not self.loaded(model, version),
                        STEP_TIMEOUT_S)
 
-    def events(self):
-        """The time line over all hosts."""
-        text = self.site.ctl("timeline", "--format", "json",
-                             *[self.site.control_address(host)
-                               for host in self.site.entry_hosts])
+    def events(self, addresses):
+        """The time line over the hosts at the addresses."""
+        text = self.site.ctl("timeline", "--format", "json", *addresses)
         return [json.loads(line) for line in text.splitlines()]
 
     def do_wait_events(self, types):
@@ -236,7 +254,8 @@
         missing = set(types)
 
         def complete():
-            events = self.events()
+            events = self.events([self.site.control_address(host)
+                                  for host in self.site.entry_hosts])
             times = [int(event["time"]) for event in events]
             if times != sorted(times):
                 raise AssertionError("the time line is out of order")
@@ -301,8 +320,24 @@
             raise sites.SiteError(f"{target} created {created} generations")
 
 
+# Without any record of these types, a checker would have nothing to judge.
+EVIDENCE = {
+    "token-once": ("token_delivered",),
+    "whole-answer": ("answer_completed", "answer_failed"),
+    "not-run-is-true": ("verdict",),
+    "action-at-most-once": ("verdict",),
+    "leaving-gets-no-work": ("work_accepted",),
+    "graceful-stop": ("stop_requested",),
+    "table-in-force": ("table_in_force",),
+}
+
+
 def check(run):
     """Runs the invariant checkers; returns their output and verdict."""
+    idle = [name for name in run.scenario.expect
+            if run.history.count(*EVIDENCE[name]) == 0]
+    if idle:
+        return False, f"nothing to judge by {', '.join(idle)}"
     path = run.site.folder / "history.jsonl"
     run.history.write(path)
     result = subprocess.run(
