Source: Use one piece of code where two did the same

Change, without a change of behaviour: - Contains and the "no_target" refusal stood in both dispatchers. Contains is now in Core, and the two filters that wrote it out call it. NoTarget is in Dispatcher.h. - CallerServer had its own copy of Refusal. Refusal moves from RequestContext.h to HttpText.h, which both include. - Status codes 400, 404, 429 and 503 in three files of Filters are the constants of HttpStatus.h. - CancelQueue computed the jitter of its delay by hand; it calls Jittered. - LoadSharing guarded its callback with a weak pointer; it uses AliveToken. - CreditOwner::mStarted was set and never read. - ControlCore::Status set the age of the host list, which ControlProcess always replaced.

Each needs its own measurement or test.

The sanitized Controllers tests were cut off at 60 s; their sources did not change.

--- a/Source/Control/ControlCore.cxx
+++ b/Source/Control/ControlCore.cxx
@@ -286,8 +286,6 @@
                                 member.mAddress,
                                 member.mFailureDomain });
   }
-  const auto age = mDirectory.ListAge();
-  status.mHostListAgeMillis = age < Duration::zero() ? -1 : age.count() / 1000;
   status.mEntryHosts = std::uint32_t(mDirectory.EntryHosts().size());
   status.mTargets = std::uint32_t(mDirectory.Targets().size());
   status.mLeaving = mDirectory.IsThisHostLeaving();
--- a/Source/Control/LoadSharing.cxx
+++ b/Source/Control/LoadSharing.cxx
@@ -137,14 +137,11 @@
 LoadSharing::Poll(const Target& aTarget)
 {
   mHeard.at(aTarget.mId).mPolling = true;
-  std::weak_ptr<int> alive = mAlive;
   mHooks.mPoll(
     aTarget,
-    [this, alive, id = aTarget.mId](const Result<LoadReport>& aReport) {
-      if (!alive.expired()) {
-        TakeReport(id, aReport);
-      }
-    });
+    mAlive.Wrap([this, id = aTarget.mId](const Result<LoadReport>& aReport) {
+      TakeReport(id, aReport);
+    }));
 }
 
 void
--- a/Source/Control/LoadSharing.h
+++ b/Source/Control/LoadSharing.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "Controllers/AliveToken.h"
 #include "Controllers/DomainTree.h"
 #include "Controllers/HostDirectory.h"
 #include "Core/RandomSource.h"
@@ -119,8 +120,7 @@
   std::vector<TargetProbe> mPending;
   std::uint64_t mSequence = 0;
   std::map<HostId, std::pair<std::uint64_t, std::uint64_t>> mNewest;
-  /// Calls that come back after this object is gone find it expired.
-  std::shared_ptr<int> mAlive = std::make_shared<int>(0);
+  AliveToken mAlive;
   TimerHandle mTickTimer;
   TimerHandle mFlushTimer;
 };
--- a/Source/Filters/CallerServer.cxx
+++ b/Source/Filters/CallerServer.cxx
@@ -23,16 +23,6 @@
 constexpr std::chrono::seconds kLinger{ 2 };
 constexpr std::chrono::seconds kRetryAfterFull{ 1 };
 
-Verdict
-NotRun(int aStatus, std::string aCode, std::string aMessage)
-{
-  return { RunState::kNotRun,
-           aStatus,
-           std::move(aCode),
-           std::move(aMessage),
-           std::chrono::milliseconds(0) };
-}
-
 /// Listens on plain sockets or, with QSslServer as base, on TLS.
 template<typename Base>
 class GatedServer : public Base
@@ -176,26 +166,28 @@
       mIsReplying = true;
       return;
     case RequestScanner::State::kHeaderTooLarge:
-      Refuse(NotRun(431,
-                    "header_too_large",
-                    "The header exceeds " +
-                      std::to_string(mOwner.Limits().mMaxHeaderBytes) +
-                      " bytes."));
+      Refuse(Refusal(431,
+                     "header_too_large",
+                     "The header exceeds " +
+                       std::to_string(mOwner.Limits().mMaxHeaderBytes) +
+                       " bytes."));
       return;
     case RequestScanner::State::kBodyTooLarge:
-      Refuse(NotRun(413,
-                    "body_too_large",
-                    "The body exceeds " +
-                      std::to_string(mOwner.Limits().mMaxBodyBytes) +
-                      " bytes."));
+      Refuse(Refusal(413,
+                     "body_too_large",
+                     "The body exceeds " +
+                       std::to_string(mOwner.Limits().mMaxBodyBytes) +
+                       " bytes."));
       return;
     case RequestScanner::State::kMalformed:
-      Refuse(NotRun(400, "bad_request", "The request is not valid HTTP/1.1."));
+      Refuse(Refusal(kStatusBadRequest,
+                     "bad_request",
+                     "The request is not valid HTTP/1.1."));
       return;
     case RequestScanner::State::kPipelined:
-      Refuse(NotRun(400,
-                    "pipelining_not_supported",
-                    "Wait for each reply before the next request."));
+      Refuse(Refusal(kStatusBadRequest,
+                     "pipelining_not_supported",
+                     "Wait for each reply before the next request."));
       return;
   }
 }
@@ -254,7 +246,7 @@
   const auto age = aNow - mSince;
   if (mScanner.HasStarted()) {
     if (age > mOwner.Limits().mRequest) {
-      Refuse(NotRun(408, "request_timeout", "The request did not arrive."));
+      Refuse(Refusal(408, "request_timeout", "The request did not arrive."));
     }
   } else if (age > mOwner.Limits().mIdle) {
     mIsClosing = true;
@@ -289,8 +281,9 @@
     mGates.emplace(&aSocket, new CallerGate(aSocket, *this));
     return true;
   }
-  Verdict verdict =
-    NotRun(503, "too_many_connections", "This host has no free connection.");
+  Verdict verdict = Refusal(kStatusUnavailable,
+                            "too_many_connections",
+                            "This host has no free connection.");
   verdict.mRetryAfter = kRetryAfterFull;
   mOnRefused(verdict);
   aSocket.write(RefusalReply(verdict, { { "Connection", "close" } }));
--- a/Source/Filters/CancelQueue.cxx
+++ b/Source/Filters/CancelQueue.cxx
@@ -1,5 +1,6 @@
 #include "Filters/CancelQueue.h"
 
+#include "Controllers/CircuitBreaker.h"
 #include "Core/Log.h"
 
 #include <algorithm>
@@ -73,9 +74,8 @@
   const auto shift = std::min(entry.mTries - 1, kMaxShift);
   const auto delay = std::min(kFirstDelay * (1U << shift), kMaxDelay);
   // Jitter keeps the cancels of many streams of one engine apart.
-  const auto jittered =
-    Duration(std::int64_t(double(delay.count()) * (0.5 + mRandom.Unit())));
-  entry.mTimer = mScheduler.After(jittered, [this, aId] { Try(aId); });
+  entry.mTimer =
+    mScheduler.After(Jittered(delay, mRandom), [this, aId] { Try(aId); });
 }
 
 } // namespace ragwortdeck
--- a/Source/Filters/ClassifyFilter.cxx
+++ b/Source/Filters/ClassifyFilter.cxx
@@ -1,5 +1,6 @@
 #include "Filters/ClassifyFilter.h"
 
+#include "Core/Contains.h"
 #include "Core/HttpStatus.h"
 
 #include <QJsonArray>
@@ -28,8 +29,7 @@
     aView.mTargets.begin(), aView.mTargets.end(), [&](const auto& aEntry) {
       const auto& target = aEntry.second;
       return target.mRole == TargetRole::kEngine &&
-             std::find(target.mModels.begin(), target.mModels.end(), aModel) !=
-               target.mModels.end();
+             Contains(target.mModels, aModel);
     });
 }
 
--- a/Source/Filters/HttpText.cxx
+++ b/Source/Filters/HttpText.cxx
@@ -38,8 +38,7 @@
 TypeOf(int aStatus)
 {
   constexpr int kFirstServerError = 500;
-  constexpr int kTooMany = 429;
-  if (aStatus == kTooMany) {
+  if (aStatus == kStatusTooMany) {
     return "rate_limit_error";
   }
   return aStatus >= kFirstServerError ? "server_error"
--- a/Source/Filters/HttpText.h
+++ b/Source/Filters/HttpText.h
@@ -24,6 +24,17 @@
            std::string_view aBody,
            HttpHeaders aHeaders);
 
+/// A refusal of a request that did not run.
+inline Verdict
+Refusal(int aStatus, std::string aCode, std::string aMessage)
+{
+  return { RunState::kNotRun,
+           aStatus,
+           std::move(aCode),
+           std::move(aMessage),
+           std::chrono::milliseconds(0) };
+}
+
 /// The error body of a refused request.
 QByteArray
 ErrorBody(const Verdict& aVerdict);
--- a/Source/Filters/RequestContext.h
+++ b/Source/Filters/RequestContext.h
@@ -66,15 +66,4 @@
   MonotonicTime mDeadline;
 };
 
-/// A refusal of a request that did not run.
-inline Verdict
-Refusal(int aStatus, std::string aCode, std::string aMessage)
-{
-  return { RunState::kNotRun,
-           aStatus,
-           std::move(aCode),
-           std::move(aMessage),
-           std::chrono::milliseconds(0) };
-}
-
 } // namespace ragwortdeck
--- a/Source/Filters/RouterThread.cxx
+++ b/Source/Filters/RouterThread.cxx
@@ -17,13 +17,12 @@
 CancelReply
 ToCancelReply(const TransferEnd& aEnd)
 {
-  constexpr int kNotFound = 404;
   if (aEnd.mKind == TransferEndKind::kRefused) {
     return CancelReply::kRefused;
   }
   const bool isConfirmed =
     aEnd.mKind == TransferEndKind::kReplied &&
-    (aEnd.mStatus == kStatusOk || aEnd.mStatus == kNotFound);
+    (aEnd.mStatus == kStatusOk || aEnd.mStatus == kStatusNotFound);
   return isConfirmed ? CancelReply::kConfirmed : CancelReply::kUnknown;
 }
 
--- a/Source/Filters/ServiceTransport.cxx
+++ b/Source/Filters/ServiceTransport.cxx
@@ -1,9 +1,9 @@
 #include "Filters/ServiceTransport.h"
 
+#include "Core/Contains.h"
 #include "Filters/ClassifyFilter.h"
 
 #include <QTimer>
-#include <algorithm>
 
 namespace ragwortdeck {
 
@@ -43,7 +43,7 @@
       continue;
     }
     all.push_back(&target);
-    if (std::find(aAvoid.begin(), aAvoid.end(), id) == aAvoid.end()) {
+    if (!Contains(aAvoid, id)) {
       fresh.push_back(&target);
     }
   }
--- a/Source/Policy/BaselineDispatcher.cxx
+++ b/Source/Policy/BaselineDispatcher.cxx
@@ -1,17 +1,13 @@
 #include "Policy/BaselineDispatcher.h"
 
+#include "Core/Contains.h"
+
 #include <algorithm>
 
 namespace ragwortdeck {
 
 namespace {
 
-bool
-Contains(const auto& aList, const auto& aValue)
-{
-  return std::find(aList.begin(), aList.end(), aValue) != aList.end();
-}
-
 bool
 Serves(const Target& aTarget, const RequestTraits& aTraits)
 {
@@ -21,16 +17,6 @@
          !Contains(aTraits.mExcluded, aTarget.mId);
 }
 
-Verdict
-NoTarget()
-{
-  return { RunState::kNotRun,
-           503,
-           "no_target",
-           "no engine serves this model now; repeat later",
-           std::chrono::seconds(1) };
-}
-
 } // namespace
 
 BaselineDispatcher::BaselineDispatcher(DispatchPolicy aRule,
--- a/Source/Policy/CreditDispatcher.cxx
+++ b/Source/Policy/CreditDispatcher.cxx
@@ -1,5 +1,7 @@
 #include "Policy/CreditDispatcher.h"
 
+#include "Core/Contains.h"
+
 #include <algorithm>
 #include <cmath>
 #include <utility>
@@ -38,12 +40,6 @@
 /// Requests behind the head that a wish includes.
 constexpr std::size_t kQueueWish = 2;
 
-bool
-Contains(const auto& aList, const auto& aValue)
-{
-  return std::find(aList.begin(), aList.end(), aValue) != aList.end();
-}
-
 std::uint64_t
 ToTokens(double aValue)
 {
@@ -56,16 +52,6 @@
   return Duration(static_cast<Duration::rep>(aSeconds * 1e6));
 }
 
-Verdict
-NoTarget()
-{
-  return { RunState::kNotRun,
-           503,
-           "no_target",
-           "no engine serves this model now; repeat later",
-           std::chrono::seconds(1) };
-}
-
 Verdict
 Overloaded(Duration aRetryAfter)
 {
--- a/Source/Policy/CreditOwner.cxx
+++ b/Source/Policy/CreditOwner.cxx
@@ -25,7 +25,6 @@
 CreditOwner::CreditOwner(HostId aHost, const Clock& aClock)
   : mHost(std::move(aHost))
   , mClock(aClock)
-  , mStarted(aClock.Now())
 {
 }
 
--- a/Source/Policy/CreditOwner.h
+++ b/Source/Policy/CreditOwner.h
@@ -101,7 +101,6 @@
 
   HostId mHost;
   const Clock& mClock;
-  MonotonicTime mStarted;
   std::shared_ptr<const SiteView> mView;
   std::vector<HostId> mLive;
   /// Live hosts and since when, oldest first; the last one is mLive. Reaches
--- a/Source/Policy/Dispatcher.h
+++ b/Source/Policy/Dispatcher.h
@@ -20,6 +20,17 @@
 using DispatchDecision = std::variant<TargetId, Verdict>;
 using DispatchCallback = std::function<void(const DispatchDecision&)>;
 
+/// The refusal when no engine can take the request.
+inline Verdict
+NoTarget()
+{
+  return { RunState::kNotRun,
+           503,
+           "no_target",
+           "no engine serves this model now; repeat later",
+           std::chrono::seconds(1) };
+}
+
 /// How a dispatched request ended on its target.
 enum class DispatchOutcome
 {
