Serving: Plan departures as hosts tell them, tell list changes only

The log shows that 41 of the cut ones were never planned: the list of a leaving engine reached the hosts over 127 ms, because each change carried the whole list to 134 hosts over a link of 10 Mbit/s, and the planner planned 25 ms after it had heard itself. 4 to 24 of about 35 streams had a place. A stream that moved for the second time counted as copied from the first time. Ruled out: room at the destinations (none was refused), the copies themselves (241 ms at the median), engines that end early. Change: TargetListChange carries what differs, with a fingerprint, so that hosts which read the same targets at another revision do not ask for them again. DeparturePlanner plans streams when their hosts tell them, behind the copies that are under way. Hosts with fast links read and plan first; the last reader keeps its turn for 4 s; hosts of high rank pause longer while the store is away. Only the planner and the hosts in the plan are told.

--- a/Source/Entry/Departures.cxx
+++ b/Source/Entry/Departures.cxx
@@ -8,11 +8,23 @@
 
 namespace {
 
-/// Hosts learn of a notice at different moments, and plans last seconds.
+/// A stream may come back to an engine's number; a notice lasts about 2 s.
 constexpr Duration kForgetAfter = std::chrono::seconds(10);
 /// Name under which the hosts find the one that plans.
 constexpr const char* kPlannerItem = "departures";
 
+std::tuple<std::string, std::uint64_t, std::string>
+KeyOf(const DepartingRun& aRun)
+{
+  return { aRun.mHost, aRun.mRun, aRun.mEngine };
+}
+
+std::tuple<std::string, std::uint64_t, std::string>
+KeyOf(const CopySlot& aSlot)
+{
+  return { aSlot.mHost, aSlot.mRun, aSlot.mEngine };
+}
+
 } // namespace
 
 Departures::Departures(EntryContext& aContext, SiteFeed& aFeed)
@@ -21,128 +33,113 @@
 {
 }
 
-bool
-Departures::IsPlanner() const
-{
-  return SharedReads::IsOwner(
-    mContext.mSettings.mPeers.mAddress, mFeed.LiveHosts(), kPlannerItem);
-}
-
 void
 Departures::Begin(const std::vector<std::string>& aEngines,
                   std::optional<Milliseconds> aLeavesIn)
 {
-  const auto now = mContext.Now();
-  std::erase_if(mLeaving, [&](const auto& aItem) {
-    return now - aItem.second.mNoticed > kForgetAfter;
-  });
-  if (mLeaving.empty()) {
-    mCopied.clear();
-  }
-  for (const auto& engine : aEngines) {
-    mLeaving[engine].mNoticed = now;
-  }
   const std::set<std::string> leaving(aEngines.begin(), aEngines.end());
   std::vector<DepartingRun> own;
   for (const auto& [id, run] : mContext.mStreams) {
     if (leaving.contains(run->Engine())) {
       if (auto departing = run->Departing()) {
+        departing->mEngineEndsMs = aLeavesIn.value_or(kNotice).count();
         own.push_back(std::move(*departing));
       }
     }
   }
-  if (!own.empty()) {
-    mFeed.TellDeparting(own);
-    Learn(own);
+  if (own.empty()) {
+    return;
   }
-  if (!own.empty() || IsPlanner()) {
-    asio::co_spawn(mContext.mIo,
-                   PlanLater(aEngines, aLeavesIn.value_or(kNotice)),
-                   asio::detached);
+  auto& exchange = mFeed.Exchange();
+  const auto planner = SharedReads::FastOwnerOf(
+    exchange.Self(), exchange.LiveHosts(), kPlannerItem);
+  mContext.mLog.Write("departures_told",
+                      { { "engines", aEngines },
+                        { "list_revision", mContext.mTargets.Revision() },
+                        { "planner", planner },
+                        { "streams", own.size() } });
+  if (planner == exchange.Self().mName) {
+    Learn(own);
+    return;
   }
+  exchange.Send(planner,
+                [&](HostMessage& aMessage) { aMessage.mDeparting = own; });
+  asio::co_spawn(mContext.mIo, PlanOwnLater(std::move(own)), asio::detached);
 }
 
 void
 Departures::Learn(const std::vector<DepartingRun>& aRuns)
 {
-  for (const auto& run : aRuns) {
-    const auto [it, isNew] = mLeaving.try_emplace(run.mEngine);
-    if (isNew) {
-      it->second.mNoticed = mContext.Now();
-    }
-    it->second.mRuns.push_back(run);
+  mPlanner.Learn(aRuns, mContext.Now());
+  if (!mPlanning && mPlanner.HasUnplanned()) {
+    mPlanning = true;
+    asio::co_spawn(mContext.mIo, PlanSoon(), asio::detached);
   }
 }
 
-void
-Departures::LearnCopied(const std::vector<DepartingRun>& aRuns)
+Task<void>
+Departures::PlanOwnLater(std::vector<DepartingRun> aOwn)
 {
-  for (const auto& run : aRuns) {
-    mCopied.emplace(run.mHost, run.mRun);
+  co_await SleepFor(mContext.mIo, kPlanWait);
+  std::erase_if(aOwn, [&](const DepartingRun& aRun) {
+    return mPlanned.contains(KeyOf(aRun));
+  });
+  std::erase_if(mPlanned, [now = mContext.Now()](const auto& aItem) {
+    return now - aItem.second > kForgetAfter;
+  });
+  for (auto& run : aOwn) {
+    run.mEngineEndsMs -= kPlanWait.count();
+  }
+  if (!aOwn.empty()) {
+    Learn(aOwn);
   }
-}
-
-bool
-Departures::AllCopied(const std::string& aEngine) const
-{
-  const auto it = mLeaving.find(aEngine);
-  return it == mLeaving.end() || std::includes(mCopied.begin(),
-                                               mCopied.end(),
-                                               it->second.mFirstCopies.begin(),
-                                               it->second.mFirstCopies.end());
 }
 
 Task<void>
-Departures::PlanLater(std::vector<std::string> aEngines, Milliseconds aNotice)
+Departures::PlanSoon()
 {
-  const bool planner = IsPlanner();
-  co_await SleepFor(mContext.mIo, planner ? kCollect : kPlanWait);
-  std::erase_if(aEngines,
-                [&](const std::string& it) { return mLeaving[it].mPlanned; });
-  auto slots = Plan(aEngines, aNotice);
-  if (!planner) {
-    // No plan came; others may have one, so only the own streams are moved.
-    std::erase_if(slots, [&](const CopySlot& it) {
-      return it.mHost != mContext.mSettings.mPeers.mAddress;
-    });
-  }
-  if (slots.empty()) {
-    co_return;
+  co_await SleepFor(mContext.mIo, kCollect);
+  mPlanning = false;
+  const auto slots = Plan();
+  std::set<std::string> hosts;
+  std::set<std::string> engines;
+  std::size_t copies = 0;
+  for (const auto& slot : slots) {
+    hosts.insert(slot.mHost);
+    engines.insert(slot.mEngine);
+    copies += slot.mDestination.empty() ? 0 : 1;
+  }
+  // Hosts of earlier plans wait for these copies, too.
+  for (const auto& [key, until] : mAwaited) {
+    hosts.insert(std::get<0>(key));
   }
   mContext.mLog.Write("departure_planned",
-                      { { "engines", aEngines },
+                      { { "engines", engines },
                         { "list_revision", mContext.mTargets.Revision() },
-                        { "notice_ms", aNotice.count() },
-                        { "for_all_hosts", planner },
-                        { "copies", slots.size() } });
-  if (planner) {
-    mFeed.TellPlan(slots);
+                        { "hosts", hosts.size() },
+                        { "streams", slots.size() },
+                        { "copies", copies } });
+  auto& exchange = mFeed.Exchange();
+  hosts.erase(exchange.Self().mName);
+  for (const auto& host : hosts) {
+    exchange.Send(host, [&](HostMessage& aMessage) { aMessage.mPlan = slots; });
   }
   LearnPlan(slots);
 }
 
 std::vector<CopySlot>
-Departures::Plan(const std::vector<std::string>& aEngines,
-                 Milliseconds aNotice) const
+Departures::Plan()
 {
   const auto table = mContext.mTable.Table();
   const auto now = mContext.Now();
-  std::vector<DepartingRun> runs;
-  std::vector<DepartingEngine> engines;
-  std::set<std::string> services;
-  for (const auto& id : aEngines) {
-    const auto leaving = mLeaving.find(id);
-    const auto* entry = mContext.mTargets.Find(id);
-    if (leaving == mLeaving.end() || !entry) {
-      continue;
+  std::map<std::string, std::map<std::string, std::string>> byService;
+  for (const auto& id : mPlanner.Engines()) {
+    if (const auto* entry = mContext.mTargets.Find(id)) {
+      byService[entry->mTarget.mService][id] = entry->mTarget.mFailureDomain;
     }
-    engines.push_back({ id, entry->mTarget.mFailureDomain, aNotice });
-    services.insert(entry->mTarget.mService);
-    runs.insert(
-      runs.end(), leaving->second.mRuns.begin(), leaving->second.mRuns.end());
   }
   std::vector<CopySlot> slots;
-  for (const auto& name : services) {
+  for (const auto& [name, domains] : byService) {
     const auto* service = table ? table->FindService(name) : nullptr;
     if (!service || !service->mEngine) {
       continue;
@@ -160,63 +157,85 @@
           service->mEngine->mMemoryTokens - load.mReservedTokens,
           service->mEngine->mSlots - load.mRuns });
     }
-    const auto planned = PlanDepartures(runs,
-                                        engines,
-                                        std::move(destinations),
-                                        CopyMsPerToken(*service->mEngine));
+    const auto planned = mPlanner.Plan(
+      domains, std::move(destinations), CopyMsPerToken(*service->mEngine), now);
     slots.insert(slots.end(), planned.begin(), planned.end());
   }
   return slots;
 }
 
+void
+Departures::LearnCopied(const std::vector<DepartingRun>& aRuns)
+{
+  for (const auto& run : aRuns) {
+    mAwaited.erase(KeyOf(run));
+  }
+}
+
+bool
+Departures::AllCopied()
+{
+  std::erase_if(mAwaited, [now = mContext.Now()](const auto& aItem) {
+    return aItem.second <= now;
+  });
+  return mAwaited.empty();
+}
+
 void
 Departures::LearnPlan(const std::vector<CopySlot>& aSlots)
 {
-  std::set<RunKey> copies;
-  std::set<std::string> engines;
+  const auto now = mContext.Now();
+  const auto& self = mContext.mSettings.mPeers.mAddress;
   for (const auto& slot : aSlots) {
-    copies.emplace(slot.mHost, slot.mRun);
-    engines.insert(slot.mEngine);
-  }
-  for (const auto& engine : engines) {
-    const auto [it, isNew] = mLeaving.try_emplace(engine);
-    if (isNew) {
-      it->second.mNoticed = mContext.Now();
+    if (slot.mHost == self) {
+      mPlanned.emplace(KeyOf(slot), now);
+    }
+    if (!slot.mDestination.empty()) {
+      mAwaited[KeyOf(slot)] = now + Duration(Milliseconds(slot.mLatestStopMs));
     }
-    // Destinations are shared, so last copies wait for all first copies.
-    it->second.mPlanned = true;
-    it->second.mFirstCopies.insert(copies.begin(), copies.end());
   }
   for (const auto& slot : aSlots) {
-    if (slot.mHost == mContext.mSettings.mPeers.mAddress) {
+    if (slot.mHost == self && !slot.mDestination.empty()) {
       MoveOwn(slot);
     }
   }
 }
 
+void
+Departures::TellCopied(const DepartingRun& aRun)
+{
+  LearnCopied({ aRun });
+  std::set<std::string> hosts;
+  for (const auto& [key, until] : mAwaited) {
+    hosts.insert(std::get<0>(key));
+  }
+  auto& exchange = mFeed.Exchange();
+  hosts.erase(exchange.Self().mName);
+  for (const auto& host : hosts) {
+    exchange.Send(host,
+                  [&](HostMessage& aMessage) { aMessage.mCopied = { aRun }; });
+  }
+}
+
 void
 Departures::MoveOwn(const CopySlot& aSlot)
 {
-  const auto it = mContext.mStreams.find(aSlot.mRun);
-  const auto noticed = mLeaving[aSlot.mEngine].mNoticed;
   DepartingRun run;
   run.mEngine = aSlot.mEngine;
   run.mHost = aSlot.mHost;
   run.mRun = aSlot.mRun;
-  const auto copied = [this, run] {
-    LearnCopied({ run });
-    mFeed.TellCopied({ run });
-  };
+  const auto it = mContext.mStreams.find(aSlot.mRun);
   if (it == mContext.mStreams.end() || it->second->Engine() != aSlot.mEngine) {
-    copied();
+    TellCopied(run);
     return;
   }
+  const auto now = mContext.Now();
   StreamRun::MovePlan plan;
   plan.mDestination = aSlot.mDestination;
-  plan.mFirst = noticed + Duration(Milliseconds(aSlot.mFirstMs) + kCollect);
-  plan.mLatestStop = noticed + Duration(Milliseconds(aSlot.mLatestStopMs));
-  plan.mMayStop = [this, engine = aSlot.mEngine] { return AllCopied(engine); };
-  plan.mOnCopied = copied;
+  plan.mFirst = now + Duration(Milliseconds(aSlot.mFirstMs));
+  plan.mLatestStop = now + Duration(Milliseconds(aSlot.mLatestStopMs));
+  plan.mMayStop = [this] { return AllCopied(); };
+  plan.mOnCopied = [this, run] { TellCopied(run); };
   it->second->MoveAt(std::move(plan));
 }
 
--- a/Source/Entry/EntryProcess.cxx
+++ b/Source/Entry/EntryProcess.cxx
@@ -40,7 +40,11 @@
   : mIo(1)
   , mLog(mClock, STDOUT_FILENO)
   , mContext(mIo, mClock, aCodec, std::move(aSettings), mLog)
-  , mExchange(mIo, mClock, mContext.mSettings.mPeers, NewIncarnation())
+  , mExchange(mIo,
+              mClock,
+              mContext.mSettings.mPeers,
+              mContext.mSettings.mLinkMbps,
+              NewIncarnation())
   , mFeed(mContext, mExchange)
   , mDepartures(mContext, mFeed)
   , mReload(std::move(aReload))
--- a/Source/Entry/EntrySettings.cxx
+++ b/Source/Entry/EntrySettings.cxx
@@ -13,6 +13,9 @@
   EntrySettings settings;
   settings.mHost = aRoot.RequiredString("host");
   settings.mFailureDomain = aRoot.RequiredString("failure_domain");
+  constexpr double kFastestMbps = 1e6;
+  settings.mLinkMbps =
+    static_cast<int>(aRoot.Number("link_mbps", 0, 0, kFastestMbps));
   {
     auto listen = aRoot.Section("listen");
     const auto address = listen.RequiredString("address");
--- a/Source/Entry/EntrySettings.h
+++ b/Source/Entry/EntrySettings.h
@@ -10,6 +10,9 @@
 {
   std::string mHost;
   std::string mFailureDomain;
+  /// Rate of this host's network link; 0 when not known. Hosts with faster
+  /// links work for the others.
+  int mLinkMbps = 0;
   Endpoint mCallers;
   Endpoint mReady;
   /// UDP, for messages between hosts; the same port on all of them.
--- a/Source/Entry/HostExchange.cxx
+++ b/Source/Entry/HostExchange.cxx
@@ -11,9 +11,11 @@
 HostExchange::HostExchange(asio::io_context& aContext,
                            const Clock& aClock,
                            const Endpoint& aLocal,
+                           int aLinkMbps,
                            std::uint64_t aIncarnation)
   : mClock(aClock)
   , mLocal(aLocal)
+  , mLinkMbps(aLinkMbps)
   , mIncarnation(aIncarnation)
   , mSocket(aContext)
   , mBuffer(kLargestDatagram)
@@ -84,7 +86,9 @@
       message.mSentAt < peer.mSentAt) {
     return;
   }
-  peer = { message.mIncarnation, message.mSentAt, mClock.Now() };
+  peer = {
+    message.mIncarnation, message.mSentAt, mClock.Now(), message.mLinkMbps
+  };
   mReceive(message);
 }
 
@@ -95,6 +99,7 @@
   HostMessage message;
   message.mHost = mLocal.mAddress;
   message.mIncarnation = mIncarnation;
+  message.mLinkMbps = mLinkMbps;
   message.mSentAt = mClock.Now().time_since_epoch().count();
   mCompose(aHost, message);
   if (aAdd) {
@@ -132,14 +137,14 @@
   mPeers.emplace(aHost, peer);
 }
 
-std::vector<std::string>
+std::vector<FleetHost>
 HostExchange::LiveHosts() const
 {
-  std::vector<std::string> hosts;
+  std::vector<FleetHost> hosts;
   const auto now = mClock.Now();
   for (const auto& [host, peer] : mPeers) {
     if (now - peer.mHeardAt < kLiveFor) {
-      hosts.push_back(host);
+      hosts.push_back({ host, peer.mLinkMbps });
     }
   }
   return hosts;
--- a/Source/Entry/HostExchange.h
+++ b/Source/Entry/HostExchange.h
@@ -3,6 +3,7 @@
 #include "Core/Settings.h"
 #include "Entry/Asio.h"
 #include "Entry/HostMessage.h"
+#include "Serving/SharedReads.h"
 
 #include <functional>
 #include <map>
@@ -28,6 +29,7 @@
     /// The peer's own clock in its newest message.
     std::int64_t mSentAt = 0;
     MonotonicTime mHeardAt;
+    int mLinkMbps = 0;
   };
   /// Fills in a message to the named host.
   using Compose = std::function<void(const std::string&, HostMessage&)>;
@@ -36,6 +38,7 @@
   HostExchange(asio::io_context& aContext,
                const Clock& aClock,
                const Endpoint& aLocal,
+               int aLinkMbps,
                std::uint64_t aIncarnation);
 
   /// Opens the socket; nothing on success.
@@ -48,7 +51,9 @@
   /// Learns of a host.
   void AddHost(const std::string& aHost);
 
-  std::vector<std::string> LiveHosts() const;
+  /// Hosts that were heard within kLiveFor; this one is not among them.
+  std::vector<FleetHost> LiveHosts() const;
+  FleetHost Self() const { return { mLocal.mAddress, mLinkMbps }; }
   /// Hosts that were heard within kForgetAfter.
   std::size_t KnownHosts() const { return mPeers.size(); }
   const std::map<std::string, Peer>& Peers() const { return mPeers; }
@@ -62,6 +67,7 @@
 
   const Clock& mClock;
   Endpoint mLocal;
+  int mLinkMbps;
   std::uint64_t mIncarnation;
   udp::socket mSocket;
   udp::endpoint mFrom;
--- a/Source/Entry/HostMessage.h
+++ b/Source/Entry/HostMessage.h
@@ -2,6 +2,7 @@
 
 #include "Serving/DeparturePlan.h"
 #include "Serving/FleetLoad.h"
+#include "Serving/TargetListChange.h"
 
 namespace ragwortdeck {
 
@@ -13,6 +14,8 @@
   std::uint64_t mIncarnation = 0;
   /// The sender's clock, in microseconds.
   std::int64_t mSentAt = 0;
+  /// Rate of the sender's network link.
+  int mLinkMbps = 0;
 
   /// The revision of the sender's table; 0 when it has none.
   std::int64_t mTableRevision = 0;
@@ -26,14 +29,16 @@
   bool mListRead = false;
   /// Revision of the store at which the sender's target list changed last.
   std::int64_t mListRevision = 0;
+  /// Fingerprint of the sender's target list; 0 when it has none.
+  std::uint64_t mListFingerprint = 0;
 
   std::vector<EngineLoad> mLoads;
-  /// The sender's streams on engines that have begun to leave.
+  /// The sender's streams on engines that leave, for the receiver to plan.
   std::vector<DepartingRun> mDeparting;
   /// The sender's streams on engines that leave whose first copy is done, or
   /// was given up.
   std::vector<DepartingRun> mCopied;
-  /// The sender's plan for engines that leave.
+  /// The sender's plan for streams of the receiver and others.
   std::vector<CopySlot> mPlan;
   /// Targets that said to the sender that they leave, with the time in
   /// milliseconds until then, or -1.
@@ -44,16 +49,20 @@
   /// Compressed content; empty when not sent along.
   std::string mTable;
   std::string mList;
+  /// What the sender has just read; at most one.
+  std::vector<TargetListChange> mListChange;
 
   MSGPACK_DEFINE_ARRAY(mHost,
                        mIncarnation,
                        mSentAt,
+                       mLinkMbps,
                        mTableRevision,
                        mProvenAt,
                        mProvenIncarnation,
                        mTableRead,
                        mListRead,
                        mListRevision,
+                       mListFingerprint,
                        mLoads,
                        mDeparting,
                        mCopied,
@@ -62,7 +71,8 @@
                        mWantsTable,
                        mWantsList,
                        mTable,
-                       mList)
+                       mList,
+                       mListChange)
 };
 
 } // namespace ragwortdeck
--- a/Source/Entry/SiteFeed.cxx
+++ b/Source/Entry/SiteFeed.cxx
@@ -67,8 +67,8 @@
 SiteFeed::SiteFeed(EntryContext& aContext, HostExchange& aExchange)
   : mContext(aContext)
   , mExchange(aExchange)
-  , mTableReads(kTableTiming)
-  , mListReads(kListTiming)
+  , mTableReads(aContext.mSettings.mPeers.mAddress, kTableTiming)
+  , mListReads(aContext.mSettings.mPeers.mAddress, kListTiming)
   , mFlushTimer(aContext.mIo)
 {
 }
@@ -93,8 +93,7 @@
 std::size_t
 SiteFeed::Rank() const
 {
-  return SharedReads::RankOf(mContext.mSettings.mPeers.mAddress,
-                             mExchange.LiveHosts());
+  return SharedReads::RankOf(mExchange.Self(), mExchange.LiveHosts());
 }
 
 void
@@ -125,11 +124,11 @@
     }
     mTableReads.Started(now);
     if (co_await ReadTable()) {
-      mTableReads.Shared(now);
+      mTableReads.Shared(mContext.mSettings.mPeers.mAddress, now);
       mExchange.Broadcast(
         [](HostMessage& aMessage) { aMessage.mTableRead = true; });
     } else {
-      mTableReads.Failed(mContext.Now());
+      mTableReads.Failed(Rank(), mContext.Now());
     }
   }
 }
@@ -222,18 +221,19 @@
       continue;
     }
     mListReads.Started(now);
-    const auto before = mList.mRevision;
+    const auto before = mList;
     if (co_await ReadTargets()) {
-      mListReads.Shared(now);
-      const bool changed = mList.mRevision != before;
-      mExchange.Broadcast([this, changed](HostMessage& aMessage) {
+      mListReads.Shared(mContext.mSettings.mPeers.mAddress, now);
+      std::vector<TargetListChange> change;
+      if (mList.mTargets != before.mTargets) {
+        change.push_back(TargetListChange::Between(before, mList));
+      }
+      mExchange.Broadcast([&](HostMessage& aMessage) {
         aMessage.mListRead = true;
-        if (changed) {
-          SendListTo(aMessage);
-        }
+        aMessage.mListChange = change;
       });
     } else {
-      mListReads.Failed(mContext.Now());
+      mListReads.Failed(Rank(), mContext.Now());
     }
   }
 }
@@ -278,10 +278,12 @@
     return;
   }
   if (aList.mTargets == mList.mTargets && mList.mRevision > 0) {
+    mList.mRevision = aList.mRevision;
     mContext.mTargets.Confirm(now);
     return;
   }
   mList = aList;
+  mListFingerprint = FingerprintOf(aList);
   mListContent.clear();
   const auto leaving = mContext.mTargets.Apply(aList, now);
   mContext.mMetrics.Count("entry_target_changes_total");
@@ -473,6 +475,7 @@
   mToldVersion = mContext.mLoad.OwnVersion();
   aMessage.mTableRevision = mContext.mTable.Revision();
   aMessage.mListRevision = mList.mRevision;
+  aMessage.mListFingerprint = mListFingerprint;
   aMessage.mLoads = mContext.mLoad.Own();
   if (const auto it = mProofs.find(aHost); it != mProofs.end()) {
     aMessage.mProvenAt = it->second.mAt;
@@ -500,22 +503,60 @@
 }
 
 void
-SiteFeed::TellDeparting(const std::vector<DepartingRun>& aRuns)
-{
-  mExchange.Broadcast(
-    [&](HostMessage& aMessage) { aMessage.mDeparting = aRuns; });
-}
-
-void
-SiteFeed::TellCopied(const std::vector<DepartingRun>& aRuns)
+SiteFeed::TakeListOf(const HostMessage& aMessage)
 {
-  mExchange.Broadcast([&](HostMessage& aMessage) { aMessage.mCopied = aRuns; });
+  if (aMessage.mListRevision <= mList.mRevision) {
+    return;
+  }
+  if (aMessage.mListFingerprint == mListFingerprint) {
+    // The same targets, read at a later revision.
+    mList.mRevision = aMessage.mListRevision;
+    return;
+  }
+  for (const auto& change : aMessage.mListChange) {
+    if (auto list = change.ApplyTo(mList)) {
+      TakeTargets(*list);
+      return;
+    }
+  }
+  if (aMessage.mList.empty()) {
+    return;
+  }
+  TargetList list;
+  try {
+    const auto bytes = Uncompress(aMessage.mList);
+    msgpack::unpack(bytes.data(), bytes.size()).get().convert(list);
+    list.mRevision = aMessage.mListRevision;
+    TakeTargets(list);
+  } catch (const std::exception& ec) {
+    mContext.mLog.Write("list_unreadable",
+                        { { "from", aMessage.mHost }, { "why", ec.what() } });
+  }
 }
 
 void
-SiteFeed::TellPlan(const std::vector<CopySlot>& aSlots)
+SiteFeed::AnswerWants(const HostMessage& aMessage)
 {
-  mExchange.Broadcast([&](HostMessage& aMessage) { aMessage.mPlan = aSlots; });
+  const auto now = mContext.Now();
+  const bool lacksTable = aMessage.mTableRevision > mContext.mTable.Revision();
+  const bool lacksList = aMessage.mListRevision > mList.mRevision;
+  const bool ask = (lacksTable || lacksList) && now >= mNextAsk;
+  if (ask) {
+    mNextAsk = now + kAskEvery;
+  }
+  if (!ask && !aMessage.mWantsTable && !aMessage.mWantsList) {
+    return;
+  }
+  mExchange.Send(aMessage.mHost, [&](HostMessage& aAnswer) {
+    aAnswer.mWantsTable = ask && lacksTable;
+    aAnswer.mWantsList = ask && lacksList;
+    if (aMessage.mWantsTable) {
+      SendTableTo(aAnswer);
+    }
+    if (aMessage.mWantsList) {
+      SendListTo(aAnswer);
+    }
+  });
 }
 
 void
@@ -539,18 +580,7 @@
       aMessage.mTableRevision > mContext.mTable.Revision()) {
     TakeTable(Uncompress(aMessage.mTable), aMessage.mTableRevision);
   }
-  if (!aMessage.mList.empty() && aMessage.mListRevision > mList.mRevision) {
-    TargetList list;
-    try {
-      const auto bytes = Uncompress(aMessage.mList);
-      msgpack::unpack(bytes.data(), bytes.size()).get().convert(list);
-      list.mRevision = aMessage.mListRevision;
-      TakeTargets(list);
-    } catch (const std::exception& ec) {
-      mContext.mLog.Write("list_unreadable",
-                          { { "from", aMessage.mHost }, { "why", ec.what() } });
-    }
-  }
+  TakeListOf(aMessage);
   if (aMessage.mTableRevision == mContext.mTable.Revision()) {
     if (aMessage.mProvenIncarnation == mExchange.Incarnation()) {
       const MonotonicTime provenAt{ Duration(aMessage.mProvenAt) };
@@ -559,34 +589,14 @@
       }
     }
     if (aMessage.mTableRead) {
-      mTableReads.Shared(now);
+      mTableReads.Shared(aMessage.mHost, now);
     }
   }
-  if (aMessage.mListRevision == mList.mRevision && aMessage.mListRead) {
+  if (aMessage.mListFingerprint == mListFingerprint && aMessage.mListRead) {
     mContext.mTargets.Confirm(now);
-    mListReads.Shared(now);
-  }
-  const bool behind = aMessage.mTableRevision > mContext.mTable.Revision() ||
-                      aMessage.mListRevision > mList.mRevision;
-  const bool ask = behind && now >= mNextAsk;
-  if (ask) {
-    mNextAsk = now + kAskEvery;
-  }
-  const bool wantsTable =
-    ask && aMessage.mTableRevision > mContext.mTable.Revision();
-  const bool wantsList = ask && aMessage.mListRevision > mList.mRevision;
-  if (wantsTable || wantsList || aMessage.mWantsTable || aMessage.mWantsList) {
-    mExchange.Send(aMessage.mHost, [&](HostMessage& aAnswer) {
-      aAnswer.mWantsTable = wantsTable;
-      aAnswer.mWantsList = wantsList;
-      if (aMessage.mWantsTable) {
-        SendTableTo(aAnswer);
-      }
-      if (aMessage.mWantsList) {
-        SendListTo(aAnswer);
-      }
-    });
+    mListReads.Shared(aMessage.mHost, now);
   }
+  AnswerWants(aMessage);
   mContext.OfferRoom();
 }
 
--- a/Source/Entry/SiteFeed.h
+++ b/Source/Entry/SiteFeed.h
@@ -23,16 +23,13 @@
   std::function<void(const std::vector<std::string>&,
                      std::optional<Milliseconds>)>
     mOnLeaving;
-  /// Called with the streams of another host on engines that leave.
+  /// Called with streams of another host that this one is to plan.
   std::function<void(const std::vector<DepartingRun>&)> mOnDeparting;
-  void TellDeparting(const std::vector<DepartingRun>& aRuns);
   /// Called with streams of another host whose first copy is done.
   std::function<void(const std::vector<DepartingRun>&)> mOnCopied;
-  void TellCopied(const std::vector<DepartingRun>& aRuns);
   /// Called with another host's plan for engines that leave.
   std::function<void(const std::vector<CopySlot>&)> mOnPlan;
-  void TellPlan(const std::vector<CopySlot>& aSlots);
-  std::vector<std::string> LiveHosts() const { return mExchange.LiveHosts(); }
+  HostExchange& Exchange() { return mExchange; }
 
 private:
   Task<void> TableLoop();
@@ -56,6 +53,8 @@
   std::size_t Rank() const;
   void SendTableTo(HostMessage& aMessage) const;
   void SendListTo(HostMessage& aMessage);
+  void TakeListOf(const HostMessage& aMessage);
+  void AnswerWants(const HostMessage& aMessage);
 
   EntryContext& mContext;
   HostExchange& mExchange;
@@ -64,6 +63,7 @@
   /// The table as the store holds it, compressed, for other hosts.
   std::string mTableContent;
   TargetList mList;
+  std::uint64_t mListFingerprint = 0;
   /// mList compressed, for other hosts; empty until one needs it.
   std::string mListContent;
   std::string mLease;
--- a/Source/Entry/StreamRun.cxx
+++ b/Source/Entry/StreamRun.cxx
@@ -619,7 +619,9 @@
       co_return false;
     }
     if (status == kStatusNotFound || status == kStatusConflict) {
-      // The prompt is still being read, or another copy runs.
+      // The prompt is still being read, or another copy runs; the others do
+      // not wait for this run.
+      FirstCopyOver();
       if (mContext.Now() > mPlan.mLatestStop + Duration(kLookFor) ||
           (status == kStatusNotFound && last)) {
         co_return false;
--- a/Source/Serving/DeparturePlan.cxx
+++ b/Source/Serving/DeparturePlan.cxx
@@ -68,8 +68,14 @@
                                      aRight.mHost,
                                      aRight.mRun);
             });
-  // When each link is free, in milliseconds after the notice.
+  // When each link is free, in milliseconds from now.
   std::map<std::string, double> freeAt;
+  for (const auto& it : aEngines) {
+    freeAt[it.mEngine] = it.mBusyMs;
+  }
+  for (const auto& it : aDestinations) {
+    freeAt[it.mEngine] = it.mBusyMs;
+  }
   std::vector<CopySlot> slots;
   for (const auto& run : aRuns) {
     const auto& engine = *engines[run.mEngine];
@@ -108,6 +114,7 @@
                       run.mRun,
                       best->mEngine,
                       static_cast<std::int64_t>(bestStart),
+                      static_cast<std::int64_t>(bestEnd),
                       latestStop.count() });
   }
   return slots;
--- a/Source/Serving/DeparturePlan.h
+++ b/Source/Serving/DeparturePlan.h
@@ -24,8 +24,17 @@
   std::int64_t mLeftMs = 0;
   /// What is lost when it breaks off: its size, in tokens of output.
   std::int64_t mValue = 0;
+  /// Time until the engine ends, as its host knows it.
+  std::int64_t mEngineEndsMs = 0;
 
-  MSGPACK_DEFINE_ARRAY(mEngine, mHost, mRun, mTokens, mNeed, mLeftMs, mValue)
+  MSGPACK_DEFINE_ARRAY(mEngine,
+                       mHost,
+                       mRun,
+                       mTokens,
+                       mNeed,
+                       mLeftMs,
+                       mValue,
+                       mEngineEndsMs)
   bool operator==(const DepartingRun&) const = default;
 };
 
@@ -34,8 +43,10 @@
 {
   std::string mEngine;
   std::string mFailureDomain;
-  /// Shortest time between the notice and its end.
+  /// Shortest time until its end.
   Milliseconds mNotice{ 0 };
+  /// Its link is busy with earlier copies for this long.
+  double mBusyMs = 0;
   bool operator==(const DepartingEngine&) const = default;
 };
 
@@ -46,6 +57,8 @@
   std::string mFailureDomain;
   std::int64_t mFreeTokens = 0;
   int mFreeSlots = 0;
+  /// Its link is busy with earlier copies for this long.
+  double mBusyMs = 0;
   bool operator==(const Destination&) const = default;
 };
 
@@ -56,9 +69,11 @@
   std::string mHost;
   std::uint64_t mRun = 0;
   std::string mDestination;
-  /// Start of the first copy after the notice, while the run goes on.
+  /// Start and expected end of the first copy after the plan, while the run
+  /// goes on.
   std::int64_t mFirstMs = 0;
-  /// The run stops for its last copy this long after the notice at the latest.
+  std::int64_t mFirstEndMs = 0;
+  /// The run stops for its last copy this long after the plan at the latest.
   std::int64_t mLatestStopMs = 0;
 
   MSGPACK_DEFINE_ARRAY(mEngine,
@@ -66,6 +81,7 @@
                        mRun,
                        mDestination,
                        mFirstMs,
+                       mFirstEndMs,
                        mLatestStopMs)
   bool operator==(const CopySlot&) const = default;
 };
--- a/Source/Serving/SharedReads.cxx
+++ b/Source/Serving/SharedReads.cxx
@@ -5,45 +5,74 @@
 
 namespace ragwortdeck {
 
+namespace {
+
+std::uint64_t
+WeightOf(const std::string& aHost, const std::string& aItem)
+{
+  return XXH64(
+    aItem.data(), aItem.size(), XXH64(aHost.data(), aHost.size(), 0));
+}
+
+} // namespace
+
 std::size_t
-SharedReads::RankOf(const std::string& aSelf,
-                    const std::vector<std::string>& aHosts)
+SharedReads::RankOf(const FleetHost& aSelf,
+                    const std::vector<FleetHost>& aHosts)
 {
   const auto hash = [](const std::string& aName) {
     return XXH64(aName.data(), aName.size(), 0);
   };
-  const auto own = hash(aSelf);
+  const auto own = hash(aSelf.mName);
   return static_cast<std::size_t>(
-    std::count_if(aHosts.begin(), aHosts.end(), [&](const std::string& aItem) {
-      return aItem != aSelf && hash(aItem) < own;
+    std::count_if(aHosts.begin(), aHosts.end(), [&](const FleetHost& aItem) {
+      return aItem.mLinkMbps > aSelf.mLinkMbps ||
+             (aItem.mLinkMbps == aSelf.mLinkMbps && hash(aItem.mName) < own);
     }));
 }
 
 bool
 SharedReads::IsOwner(const std::string& aSelf,
-                     const std::vector<std::string>& aHosts,
+                     const std::vector<FleetHost>& aHosts,
                      const std::string& aItem)
 {
-  const auto weight = [&](const std::string& aHost) {
-    return XXH64(
-      aItem.data(), aItem.size(), XXH64(aHost.data(), aHost.size(), 0));
-  };
-  const auto own = weight(aSelf);
+  const auto own = WeightOf(aSelf, aItem);
   return std::none_of(
-    aHosts.begin(), aHosts.end(), [&](const std::string& aItem) {
-      return aItem != aSelf && weight(aItem) > own;
+    aHosts.begin(), aHosts.end(), [&](const FleetHost& aHost) {
+      return WeightOf(aHost.mName, aItem) > own;
     });
 }
 
+std::string
+SharedReads::FastOwnerOf(const FleetHost& aSelf,
+                         const std::vector<FleetHost>& aHosts,
+                         const std::string& aItem)
+{
+  auto owner = aSelf;
+  auto weight = WeightOf(aSelf.mName, aItem);
+  for (const auto& host : aHosts) {
+    const auto its = WeightOf(host.mName, aItem);
+    if (host.mLinkMbps > owner.mLinkMbps ||
+        (host.mLinkMbps == owner.mLinkMbps && its > weight)) {
+      owner = host;
+      weight = its;
+    }
+  }
+  return owner.mName;
+}
+
 MonotonicTime
 SharedReads::DueAt(std::size_t aRank) const
 {
-  // Beyond this rank hosts are alike: all of them read when nothing comes.
-  constexpr std::size_t kRanks = 6;
+  const bool keeps = !mReader.empty() && mLast - mReaderSince < kKeepReader;
+  // The reader moves before all others while it keeps its turn.
+  const auto rank = keeps ? (mReader == mSelf ? 0 : aRank + 1) : aRank;
+  const auto tail = rank > kRanks ? std::min(rank - kRanks, kTailRanks) : 0;
   return std::max(mNotBefore,
                   mLast + mTiming.mPeriod +
                     mTiming.mRankDelay *
-                      static_cast<Duration::rep>(std::min(aRank, kRanks)));
+                      static_cast<Duration::rep>(std::min(rank, kRanks)) +
+                    kTailDelay * static_cast<Duration::rep>(tail));
 }
 
 void
@@ -53,17 +82,27 @@
 }
 
 void
-SharedReads::Shared(MonotonicTime aNow)
+SharedReads::Shared(const std::string& aReader, MonotonicTime aNow)
 {
+  // After its time the turn is open once, and whoever reads then keeps it.
+  if (aReader != mReader || aNow - mReaderSince >= kKeepReader) {
+    mReader = aReader;
+    mReaderSince = aNow;
+  }
   mLast = aNow;
   mPause = mTiming.mFirstPause;
   mNotBefore = {};
 }
 
 void
-SharedReads::Failed(MonotonicTime aNow)
+SharedReads::Failed(std::size_t aRank, MonotonicTime aNow)
 {
-  mNotBefore = aNow + mPause;
+  if (mReader == mSelf) {
+    mReader.clear();
+  }
+  mNotBefore =
+    aNow + mPause +
+    std::min(kMostRankPause, kRankPause * static_cast<Duration::rep>(aRank));
   mPause = std::min(mTiming.mLongestPause, mPause * 2);
 }
 
--- a/Tests/Serving/DeparturePlanTest.cxx
+++ b/Tests/Serving/DeparturePlanTest.cxx
@@ -1,4 +1,4 @@
-#include "Serving/DeparturePlan.h"
+#include "Serving/DeparturePlanner.h"
 #include "Support/Section.h"
 
 #include <algorithm>
@@ -47,6 +47,7 @@
   CPPUNIT_TEST(TestTwoEnginesTogether);
   CPPUNIT_TEST(TestRoom);
   CPPUNIT_TEST(TestUnknown);
+  CPPUNIT_TEST(TestLateHosts);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -171,6 +172,60 @@
                        .empty());
     });
   }
+
+  // Times of a calm day with 135 hosts: they learned of a notice over 127 ms,
+  // and 4 of 35 streams were planned.
+  void TestLateHosts()
+  {
+    const auto at = [](int aMs) { return MonotonicTime(Milliseconds(aMs)); };
+    const std::map<std::string, std::string> domains{ { "e1", "a" } };
+    const std::vector<Destination> to{ { "d1", "a", kFree, 20 },
+                                       { "d2", "a", kFree, 20 } };
+    const auto told = [&](std::uint64_t aRun, int aEndsMs) {
+      auto run = Run("e1", aRun, 3500);
+      run.mEngineEndsMs = aEndsMs;
+      return run;
+    };
+    DeparturePlanner planner;
+    planner.Learn({ told(1, 1400) }, at(0));
+    const auto first = planner.Plan(domains, to, kMsPerToken, at(25));
+    Section("streams that are told first are planned at once", [&] {
+      CPPUNIT_ASSERT_EQUAL(std::size_t(1), first.size());
+      CPPUNIT_ASSERT_EQUAL(std::int64_t(0), first[0].mFirstMs);
+      CPPUNIT_ASSERT(!planner.HasUnplanned());
+    });
+    planner.Learn({ told(1, 1400), told(2, 1400) }, at(127));
+    const auto second = planner.Plan(domains, to, kMsPerToken, at(152));
+    Section("a stream that is told later is added behind them", [&] {
+      CPPUNIT_ASSERT_EQUAL(std::size_t(1), second.size());
+      CPPUNIT_ASSERT_EQUAL(std::uint64_t(2), second[0].mRun);
+      CPPUNIT_ASSERT(152 + second[0].mFirstMs >= 25 + first[0].mFirstEndMs);
+    });
+    Section("the engine ends when the first host says, not the last",
+            [&] { CPPUNIT_ASSERT(152 + second[0].mLatestStopMs < 1400); });
+    Section("one that cannot be copied in time is told so", [&] {
+      planner.Learn({ told(3, 1273) }, at(1150));
+      const auto late = planner.Plan(domains, to, kMsPerToken, at(1175));
+      CPPUNIT_ASSERT_EQUAL(std::size_t(1), late.size());
+      CPPUNIT_ASSERT(late[0].mDestination.empty());
+    });
+    Section("room that a planned copy will take is not given twice", [&] {
+      DeparturePlanner tight;
+      const std::vector<Destination> one{ { "d1", "a", 5000, 20 } };
+      tight.Learn({ told(1, 1400) }, at(0));
+      CPPUNIT_ASSERT(
+        !tight.Plan(domains, one, kMsPerToken, at(25))[0].mDestination.empty());
+      tight.Learn({ told(2, 1400) }, at(30));
+      CPPUNIT_ASSERT(
+        tight.Plan(domains, one, kMsPerToken, at(55))[0].mDestination.empty());
+    });
+    Section("a stream that moved on is planned again on its next engine", [&] {
+      auto again = Run("e2", 1, 3500);
+      again.mEngineEndsMs = 1400;
+      planner.Learn({ again }, at(3300));
+      CPPUNIT_ASSERT(planner.HasUnplanned());
+    });
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(DeparturePlanTest);
--- a/Tests/Serving/PlacementTest.cxx
+++ b/Tests/Serving/PlacementTest.cxx
@@ -68,6 +68,7 @@
   CPPUNIT_TEST(TestHealth);
   CPPUNIT_TEST(TestRetryAllowance);
   CPPUNIT_TEST(TestSharedReads);
+  CPPUNIT_TEST(TestReadersOfLargeFleet);
   CPPUNIT_TEST(TestShutdown);
   CPPUNIT_TEST(TestEvents);
   CPPUNIT_TEST_SUITE_END();
@@ -320,42 +321,101 @@
     const SharedReads::Timing timing{
       milliseconds(150), milliseconds(90), milliseconds(150), milliseconds(800)
     };
-    const std::vector<std::string> hosts{ "a", "b", "c", "d" };
-    Section("each host has a rank of its own", [&] {
+    const std::vector<FleetHost> hosts{
+      { "a", 10 }, { "b", 10 }, { "c", 200 }, { "d", 10 }
+    };
+    const auto without = [&](const FleetHost& aHost) {
+      auto others = hosts;
+      std::erase(others, aHost);
+      return others;
+    };
+    Section("each host has a rank of its own, a fast link the first", [&] {
       std::set<std::size_t> ranks;
       for (const auto& host : hosts) {
-        ranks.insert(SharedReads::RankOf(host, hosts));
+        ranks.insert(SharedReads::RankOf(host, without(host)));
       }
       CPPUNIT_ASSERT_EQUAL(hosts.size(), ranks.size());
+      CPPUNIT_ASSERT_EQUAL(std::size_t(0),
+                           SharedReads::RankOf(hosts[2], without(hosts[2])));
     });
     Section("each item has one owner", [&] {
       for (const auto* item : { "x", "y", "z" }) {
         CPPUNIT_ASSERT_EQUAL(
           std::ptrdiff_t(1),
           std::count_if(hosts.begin(), hosts.end(), [&](const auto& it) {
-            return SharedReads::IsOwner(it, hosts, item);
+            return SharedReads::IsOwner(it.mName, without(it), item);
           }));
+        for (const auto& host : hosts) {
+          CPPUNIT_ASSERT_EQUAL(
+            std::string("c"),
+            SharedReads::FastOwnerOf(host, without(host), item));
+        }
       }
     });
     Section("a later rank reads only when nothing has come", [&] {
-      SharedReads reads(timing);
-      reads.Shared(At(1000));
+      SharedReads reads("self", timing);
+      reads.Started(At(1000));
       CPPUNIT_ASSERT(reads.DueAt(0) == At(1150));
       CPPUNIT_ASSERT(reads.DueAt(2) == At(1330));
-      reads.Shared(At(1200));
+      reads.Started(At(1200));
       CPPUNIT_ASSERT(reads.DueAt(2) == At(1530));
     });
     Section("a store that is away is asked less often, up to a bound", [&] {
-      SharedReads reads(timing);
+      SharedReads reads("self", timing);
       for (int n = 0; n < 8; ++n) {
-        reads.Failed(At(2000));
+        reads.Failed(0, At(2000));
       }
       CPPUNIT_ASSERT(reads.DueAt(0) == At(2800));
-      reads.Shared(At(2900));
+      reads.Shared("self", At(2900));
       CPPUNIT_ASSERT(reads.DueAt(0) == At(3050));
     });
   }
 
+  void TestReadersOfLargeFleet()
+  {
+    const SharedReads::Timing timing{
+      milliseconds(150), milliseconds(90), milliseconds(150), milliseconds(800)
+    };
+    Section("135 hosts, the store away for 8 s: they ask less than half as "
+            "often as if each were the first",
+            [&] {
+              const auto questions = [&](std::size_t aRank) {
+                SharedReads reads(std::to_string(aRank), timing);
+                int asked = 0;
+                while (reads.DueAt(aRank) < At(8000)) {
+                  ++asked;
+                  reads.Failed(aRank, std::max(At(0), reads.DueAt(aRank)));
+                }
+                return asked;
+              };
+              int all = 0;
+              for (std::size_t rank = 0; rank < 135; ++rank) {
+                all += questions(rank);
+              }
+              CPPUNIT_ASSERT(questions(0) > 8);
+              CPPUNIT_ASSERT(all * 2 < questions(0) * 135);
+            });
+    Section("hosts that are turned away do not delay the reads of the others",
+            [&] {
+              SharedReads reads("fourth", timing);
+              reads.Started(At(0));
+              CPPUNIT_ASSERT(reads.DueAt(3) == At(420));
+              reads.Shared("fourth", At(420));
+              CPPUNIT_ASSERT(reads.DueAt(3) == At(570));
+              Section("and the first in rank tries again after a while", [&] {
+                reads.Shared("fourth", At(4500));
+                CPPUNIT_ASSERT(reads.DueAt(3) == At(4650));
+                reads.Started(At(8600));
+                CPPUNIT_ASSERT(reads.DueAt(3) == At(9020));
+              });
+            });
+    Section("a host that hears nobody reads within 1.2 s", [&] {
+      SharedReads reads("alone", timing);
+      reads.Shared("other", At(0));
+      CPPUNIT_ASSERT(reads.DueAt(134) <= At(1200));
+    });
+  }
+
   void TestShutdown()
   {
     constexpr auto kGrace = std::chrono::seconds(8);
--- a/Tests/Serving/TableTest.cxx
+++ b/Tests/Serving/TableTest.cxx
@@ -1,5 +1,6 @@
 #include "Serving/TableBelief.h"
 #include "Serving/TargetDirectory.h"
+#include "Serving/TargetListChange.h"
 #include "Support/Section.h"
 
 #include <cppunit/extensions/HelperMacros.h>
@@ -62,6 +63,7 @@
   CPPUNIT_TEST(TestAge);
   CPPUNIT_TEST(TestTargetsLeave);
   CPPUNIT_TEST(TestOutage);
+  CPPUNIT_TEST(TestListChange);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -165,6 +167,47 @@
     });
   }
 
+  void TestListChange()
+  {
+    TargetList before;
+    before.mRevision = 10;
+    for (int n = 0; n < 60; ++n) {
+      const auto id = "i-" + std::to_string(n);
+      before.mTargets.emplace(id, MakeTarget(id));
+    }
+    auto after = before;
+    after.mRevision = 12;
+    after.mTargets["i-3"].mLeaving = true;
+    after.mTargets.erase("i-4");
+    after.mTargets.emplace("new", MakeTarget("new"));
+    const auto change = TargetListChange::Between(before, after);
+    Section("a change holds what differs, and no more", [&] {
+      CPPUNIT_ASSERT_EQUAL(std::size_t(2), change.mSet.size());
+      CPPUNIT_ASSERT(change.mGone == std::vector<std::string>{ "i-4" });
+    });
+    Section("it leads from the one list to the other",
+            [&] { CPPUNIT_ASSERT(change.ApplyTo(before) == after); });
+    Section("it does not fit any other list", [&] {
+      auto other = before;
+      other.mTargets.erase("i-7");
+      CPPUNIT_ASSERT(!change.ApplyTo(other));
+    });
+    Section("the same targets at another revision are the same list", [&] {
+      auto later = before;
+      later.mRevision = 99;
+      CPPUNIT_ASSERT_EQUAL(FingerprintOf(before), FingerprintOf(later));
+      CPPUNIT_ASSERT(change.ApplyTo(later) == after);
+    });
+    Section("it survives the way to another host", [&] {
+      msgpack::sbuffer bytes;
+      msgpack::pack(bytes, change);
+      TargetListChange read;
+      msgpack::unpack(bytes.data(), bytes.size()).get().convert(read);
+      CPPUNIT_ASSERT(read == change);
+      CPPUNIT_ASSERT(bytes.size() < 400);
+    });
+  }
+
   void TestOutage()
   {
     TargetDirectory directory;
