Entry: Tell loads alone between reads, skip heartbeats that repeat them

Change: messages about loads carry loads alone; work that ended or was read is told within 60 ms, new work after 0.3 ms as before; a heartbeat is left out when something was told to all within the second before.

--- a/Source/Entry/EntryProcess.cxx
+++ b/Source/Entry/EntryProcess.cxx
@@ -109,7 +109,7 @@
   mFeed.mOnPlan = [this](const std::vector<CopySlot>& aSlots) {
     mDepartures.LearnPlan(aSlots);
   };
-  mContext.mLoad.mOnChange = [this] { mFeed.LoadChanged(); };
+  mContext.mLoad.mOnChange = [this](bool aGrew) { mFeed.LoadChanged(aGrew); };
   mLog.Write("start",
              { { "host", mContext.mSettings.mHost },
                { "failure_domain", mContext.mSettings.mFailureDomain },
--- a/Source/Entry/HostExchange.cxx
+++ b/Source/Entry/HostExchange.cxx
@@ -94,14 +94,15 @@
 
 void
 HostExchange::Send(const std::string& aHost,
-                   const std::function<void(HostMessage&)>& aAdd)
+                   const std::function<void(HostMessage&)>& aAdd,
+                   Content aContent)
 {
   HostMessage message;
   message.mHost = mLocal.mAddress;
   message.mIncarnation = mIncarnation;
   message.mLinkMbps = mLinkMbps;
   message.mSentAt = mClock.Now().time_since_epoch().count();
-  mCompose(aHost, message);
+  mCompose(aHost, aContent, message);
   if (aAdd) {
     aAdd(message);
   }
@@ -118,10 +119,12 @@
 }
 
 void
-HostExchange::Broadcast(const std::function<void(HostMessage&)>& aAdd)
+HostExchange::Broadcast(const std::function<void(HostMessage&)>& aAdd,
+                        Content aContent)
 {
+  mLastBroadcast = mClock.Now();
   for (const auto& [host, peer] : mPeers) {
-    Send(host, aAdd);
+    Send(host, aAdd, aContent);
   }
 }
 
--- a/Source/Entry/HostExchange.h
+++ b/Source/Entry/HostExchange.h
@@ -31,8 +31,17 @@
     MonotonicTime mHeardAt;
     int mLinkMbps = 0;
   };
+  /// How much of its state a host tells.
+  enum class Content
+  {
+    /// Loads alone: they change several times a second, and bytes between
+    /// failure domains are priced.
+    kLoads,
+    kAll,
+  };
   /// Fills in a message to the named host.
-  using Compose = std::function<void(const std::string&, HostMessage&)>;
+  using Compose =
+    std::function<void(const std::string&, Content, HostMessage&)>;
   using Receive = std::function<void(const HostMessage&)>;
 
   HostExchange(asio::io_context& aContext,
@@ -46,8 +55,12 @@
   void Start(Compose aCompose, Receive aReceive);
   /// Sends to one host; aCompose adds to what the general hook fills in.
   void Send(const std::string& aHost,
-            const std::function<void(HostMessage&)>& aAdd = {});
-  void Broadcast(const std::function<void(HostMessage&)>& aAdd = {});
+            const std::function<void(HostMessage&)>& aAdd = {},
+            Content aContent = Content::kAll);
+  void Broadcast(const std::function<void(HostMessage&)>& aAdd = {},
+                 Content aContent = Content::kAll);
+  /// When this host last told all others something.
+  MonotonicTime LastBroadcast() const { return mLastBroadcast; }
   /// Learns of a host.
   void AddHost(const std::string& aHost);
 
@@ -73,6 +86,7 @@
   udp::endpoint mFrom;
   std::vector<char> mBuffer;
   std::map<std::string, Peer> mPeers;
+  MonotonicTime mLastBroadcast;
   Compose mCompose;
   Receive mReceive;
 };
--- a/Source/Entry/HostMessage.h
+++ b/Source/Entry/HostMessage.h
@@ -17,7 +17,8 @@
   /// Rate of the sender's network link.
   int mLinkMbps = 0;
 
-  /// The revision of the sender's table; 0 when it has none.
+  /// The revision of the sender's table; 0 when it has none, or tells its
+  /// loads alone. The same holds for its target list.
   std::int64_t mTableRevision = 0;
   /// The newest of the receiver's own times that the sender had received
   /// before it began a read of the store that found mTableRevision newest.
--- a/Source/Entry/SiteFeed.cxx
+++ b/Source/Entry/SiteFeed.cxx
@@ -47,6 +47,9 @@
 /// An engine's report describes it some hundred milliseconds ago; 570 ms were
 /// seen on the first site.
 constexpr milliseconds kReportLag{ 600 };
+/// Work that ended or was read is told within this: hosts that do not know of
+/// it spare the engine a little longer, and several changes go in one message.
+constexpr milliseconds kLazyFlush{ 60 };
 /// How often running streams are looked at for silence.
 constexpr milliseconds kSilenceEvery{ 100 };
 /// A host that lacks content asks for it at most this often.
@@ -91,9 +94,11 @@
 void
 SiteFeed::Start()
 {
-  mExchange.Start([this](const std::string& aHost,
-                         HostMessage& aMessage) { Compose(aHost, aMessage); },
-                  [this](const HostMessage& aMessage) { Handle(aMessage); });
+  mExchange.Start(
+    [this](const std::string& aHost,
+           HostExchange::Content aContent,
+           HostMessage& aMessage) { Compose(aHost, aContent, aMessage); },
+    [this](const HostMessage& aMessage) { Handle(aMessage); });
   for (const auto& seed : mContext.mSettings.mSeeds) {
     mExchange.AddHost(seed.mAddress);
   }
@@ -464,7 +469,6 @@
 Task<void>
 SiteFeed::TickLoop()
 {
-  auto lastHeartbeat = mContext.Now();
   while (true) {
     co_await SleepFor(mContext.mIo, kSweepEvery);
     const auto now = mContext.Now();
@@ -479,8 +483,7 @@
       }
     }
     mContext.OfferRoom();
-    if (now - lastHeartbeat >= kHeartbeat - kSweepEvery / 2) {
-      lastHeartbeat = now;
+    if (now - mExchange.LastBroadcast() >= kHeartbeat - kSweepEvery / 2) {
       mExchange.Broadcast();
     }
   }
@@ -520,29 +523,40 @@
 }
 
 void
-SiteFeed::LoadChanged()
+SiteFeed::LoadChanged(bool aGrew)
 {
-  if (mFlushPending) {
+  const auto at =
+    mContext.Now() + (aGrew ? Duration(kFlushDelay) : Duration(kLazyFlush));
+  if (mFlushPending && mFlushAt <= at) {
     return;
   }
   mFlushPending = true;
-  mFlushTimer.expires_after(kFlushDelay);
+  mFlushAt = at;
+  mFlushTimer.expires_after(at - mContext.Now());
   mFlushTimer.async_wait([this](const error_code& aError) {
+    if (aError) {
+      return;
+    }
     mFlushPending = false;
-    if (!aError && mToldVersion != mContext.mLoad.OwnVersion()) {
-      mExchange.Broadcast();
+    if (mToldVersion != mContext.mLoad.OwnVersion()) {
+      mExchange.Broadcast({}, HostExchange::Content::kLoads);
     }
   });
 }
 
 void
-SiteFeed::Compose(const std::string& aHost, HostMessage& aMessage)
+SiteFeed::Compose(const std::string& aHost,
+                  HostExchange::Content aContent,
+                  HostMessage& aMessage)
 {
   mToldVersion = mContext.mLoad.OwnVersion();
+  aMessage.mLoads = mContext.mLoad.Own();
+  if (aContent == HostExchange::Content::kLoads) {
+    return;
+  }
   aMessage.mTableRevision = mContext.mTable.Revision();
   aMessage.mListRevision = mList.mRevision;
   aMessage.mListFingerprint = mListFingerprint;
-  aMessage.mLoads = mContext.mLoad.Own();
   if (const auto it = mProofs.find(aHost); it != mProofs.end()) {
     aMessage.mProvenAt = it->second.mAt;
     aMessage.mProvenIncarnation = it->second.mIncarnation;
--- a/Source/Entry/SiteFeed.h
+++ b/Source/Entry/SiteFeed.h
@@ -16,8 +16,8 @@
   SiteFeed(EntryContext& aContext, HostExchange& aExchange);
 
   void Start();
-  /// Tells the others of the own load soon.
-  void LoadChanged();
+  /// Tells the others of the own load: soon when it grew, later when it fell.
+  void LoadChanged(bool aGrew);
 
   /// Called with the ids of targets that began to leave and the time until
   /// then, when it is known.
@@ -49,7 +49,9 @@
   /// Body of the store's answer to a read; kNotFound when there is no value.
   Task<Result<std::string>> ReadStore(HttpCall aCall);
 
-  void Compose(const std::string& aHost, HostMessage& aMessage);
+  void Compose(const std::string& aHost,
+               HostExchange::Content aContent,
+               HostMessage& aMessage);
   void Handle(const HostMessage& aMessage);
   bool TakeTable(const std::string& aValue, std::int64_t aRevision);
   void TakeTargets(const TargetList& aList);
@@ -81,6 +83,7 @@
   bool mStoreReached = false;
   bool mStoreNoted = false;
   bool mFlushPending = false;
+  MonotonicTime mFlushAt;
   asio::steady_timer mFlushTimer;
   std::uint64_t mToldVersion = 0;
   MonotonicTime mNextAsk;
--- a/Source/Serving/FleetLoad.cxx
+++ b/Source/Serving/FleetLoad.cxx
@@ -29,11 +29,11 @@
 }
 
 void
-FleetLoad::Changed()
+FleetLoad::Changed(bool aGrew)
 {
   ++mOwnVersion;
   if (mOnChange) {
-    mOnChange();
+    mOnChange(aGrew);
   }
 }
 
@@ -43,7 +43,7 @@
   End(aRun);
   Add(mOwn, LoadOf(aDetails), 1);
   mRuns[aRun] = std::move(aDetails);
-  Changed();
+  Changed(true);
 }
 
 void
@@ -56,7 +56,7 @@
   Add(mOwn, LoadOf(it->second), -1);
   it->second.mPromptRead = true;
   Add(mOwn, LoadOf(it->second), 1);
-  Changed();
+  Changed(false);
 }
 
 void
@@ -72,7 +72,7 @@
   Add(mOwn, LoadOf(it->second), -1);
   it->second.mOutputTokens = aMade + aMade / kTailDivisor;
   Add(mOwn, LoadOf(it->second), 1);
-  Changed();
+  Changed(false);
 }
 
 void
@@ -84,7 +84,7 @@
   }
   Add(mOwn, LoadOf(it->second), -1);
   mRuns.erase(it);
-  Changed();
+  Changed(false);
 }
 
 std::vector<EngineLoad>
--- a/Source/Serving/FleetLoad.h
+++ b/Source/Serving/FleetLoad.h
@@ -48,8 +48,9 @@
     bool mPromptRead = false;
   };
 
-  /// Called after each change of the own work.
-  std::function<void()> mOnChange;
+  /// Called after each change of the own work; true when a run was added, which
+  /// the others must know before they choose an engine.
+  std::function<void(bool)> mOnChange;
 
   void Start(std::uint64_t aRun, Run aDetails);
   /// The first token has come, so the prompt has been read.
@@ -78,7 +79,7 @@
     MonotonicTime mHeardAt;
   };
 
-  void Changed();
+  void Changed(bool aGrew);
   static void Add(std::map<std::string, EngineLoad>& aSums,
                   const EngineLoad& aLoad,
                   int aSign);
--- a/Tests/Serving/PlacementTest.cxx
+++ b/Tests/Serving/PlacementTest.cxx
@@ -82,7 +82,11 @@
   {
     FleetLoad load;
     int changes = 0;
-    load.mOnChange = [&] { ++changes; };
+    int grown = 0;
+    load.mOnChange = [&](bool aGrew) {
+      ++changes;
+      grown += aGrew ? 1 : 0;
+    };
     load.Start(1, { "e", 3000, 900, false });
     Section("own work counts at once", [&] {
       CPPUNIT_ASSERT(load.Of("e") == (EngineLoad{ "e", 1, 3900, 3000 }));
@@ -93,6 +97,7 @@
       load.PromptRead(1);
       CPPUNIT_ASSERT(load.Of("e") == (EngineLoad{ "e", 1, 3900, 0 }));
       CPPUNIT_ASSERT_EQUAL(2, changes);
+      CPPUNIT_ASSERT_EQUAL(1, grown);
     });
     Section("the reservation follows an answer that outgrows it", [&] {
       load.Progress(1, 900);
@@ -187,8 +192,8 @@
       const auto chosen = ChooseEngine(engines, Limits(), need, random);
       CPPUNIT_ASSERT(chosen);
       collisions += static_cast<int>(std::count_if(
-        placed.begin(), placed.end(), [&, id = *chosen](const auto& it) {
-          return it.second == id && now - it.first < 30;
+        placed.begin(), placed.end(), [&, id = *chosen](const auto& aIt) {
+          return aIt.second == id && now - aIt.first < 30;
         }));
       placed.emplace_back(now, *chosen);
     }
