Soak: End a connection that lost bytes, whatever fault follows

Its trace: the link of t5 dropped answers one way from 2.520 s on, a second fault set it to delay at 2.821 s, and bytes went on over connections that had lost some, from 2.885 s; a real connection cannot. Ruled out: the relay (no stream moved or was sent again at that time).

--- a/Tests/Soak/targets.py
+++ b/Tests/Soak/targets.py
@@ -64,13 +64,18 @@
         self.writers -= {writer, to_writer}
 
     async def pump(self, reader, writer, is_answer):
+        lost = False
         try:
             while data := await reader.read(65536):
                 if self.mode == "delay":
                     await asyncio.sleep(0.05)
-                # Bytes that a cut holds up are lost with the connection.
                 if self.mode == "silent" or (self.mode == "one way" and is_answer):
+                    lost = True
                     continue
+                if lost:
+                    # Bytes that a cut held up are lost with their connection.
+                    wire.close(writer, reset=True)
+                    return
                 writer.write(data)
                 await writer.drain()
             writer.close()
--- a/Tests/Soak/test_checks.py
+++ b/Tests/Soak/test_checks.py
@@ -125,6 +125,46 @@
     def test_complete_too_early(self):
         self.assertGreater(self.stream([1, 2], 3), 0)
 
+    def test_a_connection_that_lost_bytes_ends(self):
+        async def run():
+            link = targets.Link(("127.0.0.1", 1))
+            reader = asyncio.StreamReader()
+            sink = FakeWriter()
+            link.mode = "silent"
+            reader.feed_data(b"first")
+            pump = asyncio.create_task(link.pump(reader, sink, True))
+            await asyncio.sleep(0.01)
+            link.mode = "ok"
+            reader.feed_data(b"second")
+            await pump
+            return sink
+
+        sink = asyncio.run(run())
+        self.assertEqual(b"", sink.data)
+        self.assertTrue(sink.transport.aborted)
+
+
+class FakeTransport:
+    aborted = False
+
+    def abort(self):
+        self.aborted = True
+
+
+class FakeWriter:
+    def __init__(self):
+        self.data = b""
+        self.transport = FakeTransport()
+
+    def write(self, data):
+        self.data += data
+
+    async def drain(self):
+        pass
+
+    def close(self):
+        pass
+
 
 if __name__ == "__main__":
     unittest.main()
