Entry, Soak: Tell awaited hosts in one place, one copy factor, drop unused state

The loop over the hosts whose copies are awaited stood twice in Departures, the factor of copies to another failure domain in DeparturePlan.cxx and StreamRun.cxx, and the soak kept times that nothing read. Behaviour stays as it is, but for one log field: hosts of departure_planned now counts the hosts of this plan only.

--- a/Source/Entry/Departures.cxx
+++ b/Source/Entry/Departures.cxx
@@ -109,21 +109,15 @@
     engines.insert(slot.mEngine);
     copies += slot.mDestination.empty() ? 0 : 1;
   }
-  // Hosts of earlier plans wait for these copies, too.
-  for (const auto& [key, until] : mAwaited) {
-    hosts.insert(std::get<0>(key));
-  }
   mContext.mLog.Write("departure_planned",
                       { { "engines", engines },
                         { "list_revision", mContext.mTargets.Revision() },
                         { "hosts", hosts.size() },
                         { "streams", slots.size() },
                         { "copies", copies } });
-  auto& exchange = mFeed.Exchange();
-  hosts.erase(exchange.Self().mName);
-  for (const auto& host : hosts) {
-    exchange.Send(host, [&](HostMessage& aMessage) { aMessage.mPlan = slots; });
-  }
+  // Hosts of earlier plans wait for these copies, too.
+  Tell(std::move(hosts),
+       [&](HostMessage& aMessage) { aMessage.mPlan = slots; });
   LearnPlan(slots);
 }
 
@@ -205,15 +199,20 @@
 Departures::TellCopied(const DepartingRun& aRun)
 {
   LearnCopied({ aRun });
-  std::set<std::string> hosts;
+  Tell({}, [&](HostMessage& aMessage) { aMessage.mCopied = { aRun }; });
+}
+
+void
+Departures::Tell(std::set<std::string> aHosts,
+                 const std::function<void(HostMessage&)>& aAdd)
+{
   for (const auto& [key, until] : mAwaited) {
-    hosts.insert(std::get<0>(key));
+    aHosts.insert(std::get<0>(key));
   }
   auto& exchange = mFeed.Exchange();
-  hosts.erase(exchange.Self().mName);
-  for (const auto& host : hosts) {
-    exchange.Send(host,
-                  [&](HostMessage& aMessage) { aMessage.mCopied = { aRun }; });
+  aHosts.erase(exchange.Self().mName);
+  for (const auto& host : aHosts) {
+    exchange.Send(host, aAdd);
   }
 }
 
--- a/Source/Entry/Departures.h
+++ b/Source/Entry/Departures.h
@@ -45,6 +45,9 @@
   bool AllCopied();
   void MoveOwn(const CopySlot& aSlot);
   void TellCopied(const DepartingRun& aRun);
+  /// Sends to aHosts and to those whose first copies are awaited.
+  void Tell(std::set<std::string> aHosts,
+            const std::function<void(HostMessage&)>& aAdd);
 
   EntryContext& mContext;
   SiteFeed& mFeed;
--- a/Source/Entry/StreamRun.cxx
+++ b/Source/Entry/StreamRun.cxx
@@ -507,11 +507,10 @@
 bool
 StreamRun::CopyEndsInTime(const Target& aTo) const
 {
-  constexpr double kOtherDomainFactor = 2;
   const double ms =
     CopyMsPerToken(*mLimits) *
     static_cast<double>(mRequest->mAsk.mPromptTokens + MadeTokens()) *
-    (aTo.mFailureDomain == mEngine.mFailureDomain ? 1 : kOtherDomainFactor);
+    (aTo.mFailureDomain == mEngine.mFailureDomain ? 1 : kOtherDomainCopyFactor);
   return mContext.Now() +
            Duration(Milliseconds(static_cast<std::int64_t>(ms))) <
          mPlan.mLatestStop;
--- a/Source/Serving/DeparturePlan.cxx
+++ b/Source/Serving/DeparturePlan.cxx
@@ -15,8 +15,6 @@
 constexpr Milliseconds kFinishMargin{ 350 };
 /// Calls to the engine and turns of its link, for each copy.
 constexpr double kCopyOverheadMs = 6;
-/// Copies to another failure domain take this many times as long.
-constexpr double kOtherDomainFactor = 2;
 
 double
 ValueDensity(const DepartingRun& aRun)
@@ -91,7 +89,7 @@
       }
       const double start = std::max(freeAt[run.mEngine], freeAt[it.mEngine]);
       const double factor =
-        it.mFailureDomain == engine.mFailureDomain ? 1 : kOtherDomainFactor;
+        it.mFailureDomain == engine.mFailureDomain ? 1 : kOtherDomainCopyFactor;
       const double end =
         start + kCopyOverheadMs +
         factor * aMsPerToken * static_cast<double>(run.mTokens);
--- a/Source/Serving/DeparturePlan.h
+++ b/Source/Serving/DeparturePlan.h
@@ -86,6 +86,9 @@
   bool operator==(const CopySlot&) const = default;
 };
 
+/// Copies to another failure domain take this many times as long.
+constexpr double kOtherDomainCopyFactor = 2;
+
 /// The time that one token's memory takes on an engine's link.
 double
 CopyMsPerToken(const EngineLimits& aLimits);
--- a/Tests/Soak/hosts.py
+++ b/Tests/Soak/hosts.py
@@ -3,7 +3,6 @@
 import asyncio
 import signal
 import subprocess
-import time
 
 import wire
 
@@ -46,12 +45,6 @@
         # its settings overlap with them.
         self.ending = asyncio.Lock()
         self.paused_s = 0.0
-        # Until when bounds in time do not hold for it.
-        self.excused_until = 0.0
-
-    def excuse(self, seconds):
-        until = time.monotonic() + seconds
-        self.excused_until = max(self.excused_until, until)
 
     def start(self):
         self.expected_end = False
@@ -71,7 +64,6 @@
     async def kill(self, down):
         async with self.ending:
             self.expected_end = True
-            self.excuse(down + 4)
             self.send(signal.SIGKILL)
             await asyncio.sleep(down)
             self.start_again()
@@ -79,7 +71,6 @@
     async def stop_and_start(self, down):
         async with self.ending:
             self.expected_end = True
-            self.excuse(GRACE_S + down + 4)
             paused = self.paused_s
             self.send(signal.SIGTERM)
             await asyncio.sleep(GRACE_S)
@@ -96,7 +87,6 @@
             self.start()
 
     async def pause(self, seconds):
-        self.excuse(seconds + 4)
         self.paused_s += seconds
         self.send(signal.SIGSTOP)
         await asyncio.sleep(seconds)
--- a/Tests/Soak/soak.py
+++ b/Tests/Soak/soak.py
@@ -30,9 +30,6 @@
     "moves": True,
     "stride": targets.TOKENS_PER_EVENT,
 }
-# A process that was harmed, or whose store was, keeps bounds in time again
-# after this.
-SETTLE_S = 3.0
 KEY_BOUND_S = 5.0
 LEAVE_BOUND_S = 2.0
 
@@ -55,7 +52,6 @@
         self.findings = []
         self.over = False
         self.began = time.monotonic()
-        self.harmed_until = 0.0
         self.version = 1
         self.extra_routes = 0
         self.keys = {"steady": None}
@@ -80,11 +76,6 @@
     def count(self, kind, status):
         self.counts[f"{kind} {status}"] += 1
 
-    def harm(self, seconds):
-        self.harmed_until = max(
-            self.harmed_until, time.monotonic() + seconds + SETTLE_S
-        )
-
     def pick_key(self):
         """A key, and whether it stands all the time."""
         others = [it for it in self.keys if it != "steady"]
@@ -161,7 +152,6 @@
         who = self.random.choice(["", "", self.random.choice(self.hosts).name])
         fault = self.random.choice(["busy", "reset", "silent", "slow", "lost"])
         self.say(f"store {fault} for {who or 'all'} for {seconds:.2f} s")
-        self.harm(seconds)
         self.store.set_fault(who, fault)
         await asyncio.sleep(seconds)
         self.store.set_fault(who, None)
@@ -236,7 +226,6 @@
         self.put_table()
         for host in self.hosts:
             host.start()
-            host.excuse(4)
         background = [asyncio.create_task(it.ask_ready()) for it in self.hosts]
         background.append(asyncio.create_task(self.beats()))
         background.append(asyncio.create_task(self.judge_processes()))
--- a/Tests/Soak/store.py
+++ b/Tests/Soak/store.py
@@ -18,7 +18,6 @@
         self.items = {}
         self.leases = {}
         self.faults = {}
-        self.last_fault = 0.0
         self.servers = []
 
     async def listen(self, host, address, port):
@@ -29,7 +28,6 @@
 
     def set_fault(self, host, fault):
         """fault: None, "busy", "reset", "silent", "slow" or "lost"."""
-        self.last_fault = time.monotonic()
         if fault:
             self.faults[host] = fault
         else:
--- a/Tests/Soak/targets.py
+++ b/Tests/Soak/targets.py
@@ -111,7 +111,6 @@
         self.fault = None
         self.state = "ready"
         self.leaves_at = None
-        self.draining_since = None
         self.sequence = 0
         self.streams = {}
         self.writers = set()
@@ -138,8 +137,7 @@
 
     def drain(self, seconds):
         self.state = "draining"
-        self.draining_since = time.monotonic()
-        self.leaves_at = self.draining_since + seconds
+        self.leaves_at = time.monotonic() + seconds
         self.beat()
 
     def end(self):
