Entry: Send messages to the fleet through relays in each failure domain

Cause: each host sent each change of its load to every other host.

Ruled out: longer pauses between messages, since hosts that choose an engine would know less; one fixed relay for each domain, since its loss or freeze would blind a domain until it is noticed.

Change: PlanFanOut sends one copy to each other domain, to a host drawn anew for each message; that host passes it on within its domain. Messages that are not repeated take two relays, tables two with the fastest links. Silent hosts get one message a second instead of all. A message to all is packed once. Hosts without a known domain, of an older version, get everything directly, and the new fields come last, so old and new versions read each other. A missing table or list is requested 40 ms after it was noticed, since a relay may be about to deliver it. Dropped and relayed datagrams are counted.

--- a/Source/Entry/EntryProcess.cxx
+++ b/Source/Entry/EntryProcess.cxx
@@ -43,7 +43,9 @@
   , mContext(mIo, mClock, aCodec, std::move(aSettings), mLog)
   , mExchange(mIo,
               mClock,
+              mContext.mRandom,
               mContext.mSettings.mPeers,
+              mContext.mSettings.mFailureDomain,
               mContext.mSettings.mLinkMbps,
               NewIncarnation())
   , mFeed(mContext, mExchange)
@@ -209,7 +211,11 @@
         mContext.mMetrics.ToText() + "entry_connections_opened_total " +
         std::to_string(mContext.mPool.Opened()) + "\nentry_active " +
         std::to_string(mContext.mActive) + "\nentry_log_lines_dropped_total " +
-        std::to_string(mLog.Dropped()) + "\n";
+        std::to_string(mLog.Dropped()) +
+        "\nentry_peer_messages_relayed_total " +
+        std::to_string(mExchange.Relayed()) +
+        "\nentry_peer_messages_dropped_total " +
+        std::to_string(mExchange.Dropped()) + "\n";
     } else {
       response.result(kStatusNotFound);
     }
--- a/Source/Entry/HostExchange.cxx
+++ b/Source/Entry/HostExchange.cxx
@@ -6,16 +6,23 @@
 
 /// Largest payload of a UDP datagram over IPv4.
 constexpr std::size_t kMaxDatagramBytes = 65507;
+/// Interval at which hosts that do not count as live get messages: they may
+/// still receive, as when a link fails in one direction.
+constexpr Duration kSilentHostInterval = std::chrono::milliseconds(1000);
 
 } // namespace
 
 HostExchange::HostExchange(asio::io_context& aContext,
                            const Clock& aClock,
+                           RandomSource& aRandom,
                            const Endpoint& aLocal,
+                           const std::string& aFailureDomain,
                            int aLinkMbps,
                            std::uint64_t aIncarnation)
   : mClock(aClock)
+  , mRandom(aRandom)
   , mLocal(aLocal)
+  , mFailureDomain(aFailureDomain)
   , mLinkMbps(aLinkMbps)
   , mIncarnation(aIncarnation)
   , mSocket(aContext)
@@ -76,10 +83,17 @@
   } catch (const std::exception&) {
     // Not a message of this system, or one of another version: anyone can send
     // to this port.
+    ++mDropped;
     return;
   }
-  if (message.mHost.empty() || message.mHost == mLocal.mAddress ||
-      message.mHost != mFrom.address().to_string()) {
+  if (message.mHost == mLocal.mAddress) {
+    return;
+  }
+  const auto from = mFrom.address().to_string();
+  const bool relayed = message.mPath == static_cast<int>(MessagePath::kRelayed);
+  if (message.mHost.empty() ||
+      (relayed ? !mPeers.contains(from) : message.mHost != from)) {
+    ++mDropped;
     return;
   }
   auto& peer = mPeers[message.mHost];
@@ -88,46 +102,117 @@
       message.mSentAt < peer.mSentAt) {
     return;
   }
-  peer = {
-    message.mIncarnation, message.mSentAt, mClock.Now(), message.mLinkMbps
-  };
+  peer = { message.mIncarnation,
+           message.mSentAt,
+           mClock.Now(),
+           message.mLinkMbps,
+           message.mFailureDomain };
+  if (message.mPath == static_cast<int>(MessagePath::kToRelay)) {
+    Relay(message);
+  }
   mReceive(message);
 }
 
-void
-HostExchange::Send(const std::string& aHost,
-                   const std::function<void(HostMessage&)>& aAdd,
-                   Content aContent)
+HostMessage
+HostExchange::MakeMessage(const std::string& aHost,
+                          Content aContent,
+                          const std::function<void(HostMessage&)>& aAdd) const
 {
   HostMessage message;
   message.mHost = mLocal.mAddress;
   message.mIncarnation = mIncarnation;
   message.mLinkMbps = mLinkMbps;
+  message.mFailureDomain = mFailureDomain;
   message.mSentAt = mClock.Now().time_since_epoch().count();
   mFillMessage(aHost, aContent, message);
   if (aAdd) {
     aAdd(message);
   }
-  msgpack::sbuffer bytes;
-  msgpack::pack(bytes, message);
-  error_code ec;
-  const auto address = asio::ip::make_address(aHost, ec);
-  if (ec) {
+  return message;
+}
+
+void
+HostExchange::SendTo(const std::vector<std::string>& aHosts,
+                     const HostMessage& aMessage)
+{
+  if (aHosts.empty()) {
     return;
   }
-  // A datagram that cannot be sent now is treated as lost.
-  mSocket.send_to(
-    asio::buffer(bytes.data(), bytes.size()), { address, mLocal.mPort }, 0, ec);
+  msgpack::sbuffer bytes;
+  msgpack::pack(bytes, aMessage);
+  for (const auto& host : aHosts) {
+    error_code ec;
+    const auto address = asio::ip::make_address(host, ec);
+    if (!ec) {
+      // A datagram that cannot be sent now is treated as lost.
+      mSocket.send_to(asio::buffer(bytes.data(), bytes.size()),
+                      { address, mLocal.mPort },
+                      0,
+                      ec);
+    }
+  }
+}
+
+void
+HostExchange::Send(const std::string& aHost,
+                   const std::function<void(HostMessage&)>& aAdd,
+                   Content aContent)
+{
+  SendTo({ aHost }, MakeMessage(aHost, aContent, aAdd));
 }
 
 void
 HostExchange::Broadcast(const std::function<void(HostMessage&)>& aAdd,
-                        Content aContent)
+                        Content aContent,
+                        MessageClass aClass)
+{
+  const auto now = mClock.Now();
+  mLastBroadcast = now;
+  const bool toSilent = now - mSilentHostsSentAt >= kSilentHostInterval;
+  if (toSilent) {
+    mSilentHostsSentAt = now;
+  }
+  std::vector<Receiver> live;
+  std::vector<std::string> silent;
+  for (const auto& [host, peer] : mPeers) {
+    if (IsLive(peer, now)) {
+      live.push_back(
+        { host, peer.mFailureDomain, peer.mLinkMbps, now - peer.mReceivedAt });
+    } else if (toSilent) {
+      silent.push_back(host);
+    }
+  }
+  const auto plan = PlanFanOut(mFailureDomain, live, aClass, mRandom);
+  auto message = MakeMessage({}, aContent, aAdd);
+  SendTo(plan.mDirect, message);
+  SendTo(silent, message);
+  message.mPath = static_cast<int>(MessagePath::kToRelay);
+  SendTo(plan.mRelays, message);
+}
+
+void
+HostExchange::SendToEach(const std::function<void(HostMessage&)>& aAdd)
 {
   mLastBroadcast = mClock.Now();
   for (const auto& [host, peer] : mPeers) {
-    Send(host, aAdd, aContent);
+    Send(host, aAdd, Content::kAll);
+  }
+}
+
+void
+HostExchange::Relay(HostMessage aMessage)
+{
+  ++mRelayed;
+  const auto now = mClock.Now();
+  std::vector<std::string> hosts;
+  for (const auto& [host, peer] : mPeers) {
+    if (host != aMessage.mHost && peer.mFailureDomain == mFailureDomain &&
+        IsLive(peer, now)) {
+      hosts.push_back(host);
+    }
   }
+  aMessage.mPath = static_cast<int>(MessagePath::kRelayed);
+  SendTo(hosts, aMessage);
 }
 
 void
@@ -148,7 +233,7 @@
   std::vector<FleetHost> hosts;
   const auto now = mClock.Now();
   for (const auto& [host, peer] : mPeers) {
-    if (now - peer.mReceivedAt < kLivenessTimeout) {
+    if (IsLive(peer, now)) {
       hosts.push_back({ host, peer.mLinkMbps });
     }
   }
--- a/Source/Entry/HostExchange.h
+++ b/Source/Entry/HostExchange.h
@@ -3,6 +3,7 @@
 #include "Core/Settings.h"
 #include "Entry/Asio.h"
 #include "Entry/HostMessage.h"
+#include "Serving/FanOut.h"
 #include "Serving/SharedReads.h"
 
 #include <functional>
@@ -35,6 +36,8 @@
     /// When this host received it.
     MonotonicTime mReceivedAt;
     int mLinkMbps = 0;
+    /// Empty until known.
+    std::string mFailureDomain;
   };
   /// How much of its state a host sends.
   enum class Content
@@ -42,16 +45,22 @@
     /// Only the loads. They change several times a second, and traffic between
     /// failure domains costs money.
     kLoads,
+    /// Loads and revisions.
+    kState,
+    /// Loads, revisions and what concerns only the receiver.
     kAll,
   };
-  /// Fills in a message to the named host.
+  /// Fills in a message to the named host; the name is empty when the message
+  /// is for all hosts.
   using FillMessage =
     std::function<void(const std::string&, Content, HostMessage&)>;
   using Receive = std::function<void(const HostMessage&)>;
 
   HostExchange(asio::io_context& aContext,
                const Clock& aClock,
+               RandomSource& aRandom,
                const Endpoint& aLocal,
+               const std::string& aFailureDomain,
                int aLinkMbps,
                std::uint64_t aIncarnation);
 
@@ -62,10 +71,14 @@
   void Send(const std::string& aHost,
             const std::function<void(HostMessage&)>& aAdd = {},
             Content aContent = Content::kAll);
-  /// Sends to all known hosts.
+  /// Sends one message to all known hosts, through relays to those in other
+  /// failure domains. aContent is not kAll.
   void Broadcast(const std::function<void(HostMessage&)>& aAdd = {},
-                 Content aContent = Content::kAll);
-  /// When this host last called Broadcast().
+                 Content aContent = Content::kState,
+                 MessageClass aClass = MessageClass::kRoutine);
+  /// Sends a message of its own to each known host.
+  void SendToEach(const std::function<void(HostMessage&)>& aAdd);
+  /// When this host last called Broadcast() or SendToEach().
   MonotonicTime LastBroadcast() const { return mLastBroadcast; }
   /// Adds a host; it counts as live only after its first message.
   void AddHost(const std::string& aHost);
@@ -80,12 +93,31 @@
   /// Removes hosts that were silent for longer than kForgetAfter.
   void Sweep();
 
+  /// Datagrams that were dropped since they are no message of a known host.
+  std::uint64_t Dropped() const { return mDropped; }
+  /// Messages that this host passed on.
+  std::uint64_t Relayed() const { return mRelayed; }
+
 private:
   Task<void> ReceiveLoop();
   void Handle(std::size_t aSize);
+  HostMessage MakeMessage(const std::string& aHost,
+                          Content aContent,
+                          const std::function<void(HostMessage&)>& aAdd) const;
+  /// Packs aMessage once and sends it to all of aHosts.
+  void SendTo(const std::vector<std::string>& aHosts,
+              const HostMessage& aMessage);
+  /// Passes a message on to the hosts of this failure domain.
+  void Relay(HostMessage aMessage);
+  bool IsLive(const Peer& aPeer, MonotonicTime aNow) const
+  {
+    return aNow - aPeer.mReceivedAt < kLivenessTimeout;
+  }
 
   const Clock& mClock;
+  RandomSource& mRandom;
   Endpoint mLocal;
+  std::string mFailureDomain;
   int mLinkMbps;
   std::uint64_t mIncarnation;
   udp::socket mSocket;
@@ -93,6 +125,10 @@
   std::vector<char> mBuffer;
   std::map<std::string, Peer> mPeers;
   MonotonicTime mLastBroadcast;
+  /// When a broadcast last included the hosts that do not count as live.
+  MonotonicTime mSilentHostsSentAt;
+  std::uint64_t mDropped = 0;
+  std::uint64_t mRelayed = 0;
   FillMessage mFillMessage;
   Receive mReceive;
 };
--- a/Source/Entry/HostMessage.h
+++ b/Source/Entry/HostMessage.h
@@ -6,6 +6,17 @@
 
 namespace ragwortdeck {
 
+/// \brief How a message reaches its receiver.
+enum class MessagePath
+{
+  /// From its sender.
+  kDirect,
+  /// From its sender, for the receiver to pass on within its failure domain.
+  kToRelay,
+  /// From the host that passed it on.
+  kRelayed,
+};
+
 /// \brief The content of one datagram from one host to another.
 struct HostMessage
 {
@@ -58,6 +69,11 @@
   std::string mList;
   /// How the sender's last read changed the target list; at most one element.
   std::vector<TargetListChange> mListChange;
+  /// The sender's failure domain.
+  std::string mFailureDomain;
+  /// A MessagePath as a number. Hosts of versions without this field and the
+  /// one above take part: to them each message is sent directly.
+  int mPath = static_cast<int>(MessagePath::kDirect);
 
   MSGPACK_DEFINE_ARRAY(mHost,
                        mIncarnation,
@@ -80,7 +96,9 @@
                        mRequestsList,
                        mTable,
                        mList,
-                       mListChange)
+                       mListChange,
+                       mFailureDomain,
+                       mPath)
 };
 
 } // namespace ragwortdeck
--- a/Source/Entry/SiteFeed.cxx
+++ b/Source/Entry/SiteFeed.cxx
@@ -55,8 +55,9 @@
 constexpr milliseconds kDeferredFlushDelay{ 60 };
 /// How often running streams are checked for stalls.
 constexpr milliseconds kSilenceCheckInterval{ 100 };
-/// Shortest time between two requests for a missing table or target list.
-constexpr milliseconds kContentRequestInterval{ 60 };
+/// A host that learns of a newer table or target list requests it after this
+/// time: a relay may be about to deliver it.
+constexpr milliseconds kContentRequestDelay{ 40 };
 
 std::string
 Compress(const std::string& aBytes)
@@ -149,7 +150,8 @@
     mTableReads.Started(now);
     if (co_await ReadTable()) {
       mTableReads.ResultArrived(mContext.mSettings.mPeers.mAddress, now);
-      mExchange.Broadcast(
+      // Each host gets a time of its own for which the table is confirmed.
+      mExchange.SendToEach(
         [](HostMessage& aMessage) { aMessage.mTableRead = true; });
     } else {
       mTableReads.Failed(Rank(), mContext.Now());
@@ -206,7 +208,9 @@
     mProofs = std::move(proofs);
   }
   if (isNewer) {
-    mExchange.Broadcast([this](HostMessage& aMessage) { AddTable(aMessage); });
+    mExchange.Broadcast([this](HostMessage& aMessage) { AddTable(aMessage); },
+                        HostExchange::Content::kState,
+                        MessageClass::kLarge);
   }
   co_return true;
 }
@@ -251,10 +255,13 @@
       if (mList.mTargets != before.mTargets) {
         change.push_back(TargetListChange::Between(before, mList));
       }
-      mExchange.Broadcast([&](HostMessage& aMessage) {
-        aMessage.mListRead = true;
-        aMessage.mListChange = change;
-      });
+      mExchange.Broadcast(
+        [&](HostMessage& aMessage) {
+          aMessage.mListRead = true;
+          aMessage.mListChange = change;
+        },
+        HostExchange::Content::kState,
+        MessageClass::kImportant);
     } else {
       mListReads.Failed(Rank(), mContext.Now());
     }
@@ -363,9 +370,12 @@
       ? std::max<std::int64_t>(0,
                                (*report.value().mLeavesIn - kReportLag).count())
       : -1;
-  mExchange.Broadcast([&](HostMessage& aMessage) {
-    aMessage.mReportedLeaving = { { aEngine.mId, leavesMs } };
-  });
+  mExchange.Broadcast(
+    [&](HostMessage& aMessage) {
+      aMessage.mReportedLeaving = { { aEngine.mId, leavesMs } };
+    },
+    HostExchange::Content::kState,
+    MessageClass::kImportant);
   HandleReportedLeaving(aEngine.mId, leavesMs);
 }
 
@@ -514,7 +524,9 @@
       AvoidSilentEngine(engine, mContext.mSettings.mPeers.mAddress);
     }
     mExchange.Broadcast(
-      [&](HostMessage& aMessage) { aMessage.mSilentEngines = silent; });
+      [&](HostMessage& aMessage) { aMessage.mSilentEngines = silent; },
+      HostExchange::Content::kState,
+      MessageClass::kImportant);
   }
 }
 
@@ -563,6 +575,9 @@
   aMessage.mTableRevision = mContext.mTable.Revision();
   aMessage.mListRevision = mList.mRevision;
   aMessage.mListFingerprint = mListFingerprint;
+  if (aContent != HostExchange::Content::kAll) {
+    return;
+  }
   if (const auto it = mProofs.find(aHost); it != mProofs.end()) {
     aMessage.mProvenAt = it->second.mSentAt;
     aMessage.mProvenIncarnation = it->second.mIncarnation;
@@ -623,20 +638,10 @@
 void
 SiteFeed::AnswerRequests(const HostMessage& aMessage)
 {
-  const auto now = mContext.Now();
-  const bool lacksTable = aMessage.mTableRevision > mContext.mTable.Revision();
-  const bool lacksList = aMessage.mListRevision > mList.mRevision;
-  const bool sendRequest =
-    (lacksTable || lacksList) && now >= mNextContentRequest;
-  if (sendRequest) {
-    mNextContentRequest = now + kContentRequestInterval;
-  }
-  if (!sendRequest && !aMessage.mRequestsTable && !aMessage.mRequestsList) {
+  if (!aMessage.mRequestsTable && !aMessage.mRequestsList) {
     return;
   }
   mExchange.Send(aMessage.mHost, [&](HostMessage& aAnswer) {
-    aAnswer.mRequestsTable = sendRequest && lacksTable;
-    aAnswer.mRequestsList = sendRequest && lacksList;
     if (aMessage.mRequestsTable) {
       AddTable(aAnswer);
     }
@@ -646,6 +651,39 @@
   });
 }
 
+void
+SiteFeed::RequestMissingContent(const HostMessage& aMessage)
+{
+  if (mContentRequestPending ||
+      (aMessage.mTableRevision <= mContext.mTable.Revision() &&
+       aMessage.mListRevision <= mList.mRevision)) {
+    return;
+  }
+  mContentRequestPending = true;
+  asio::co_spawn(mContext.mIo,
+                 RequestAfterDelay(aMessage.mHost,
+                                   aMessage.mTableRevision,
+                                   aMessage.mListRevision),
+                 asio::detached);
+}
+
+Task<void>
+SiteFeed::RequestAfterDelay(std::string aHost,
+                            std::int64_t aTableRevision,
+                            std::int64_t aListRevision)
+{
+  co_await SleepFor(mContext.mIo, kContentRequestDelay);
+  mContentRequestPending = false;
+  const bool lacksTable = aTableRevision > mContext.mTable.Revision();
+  const bool lacksList = aListRevision > mList.mRevision;
+  if (lacksTable || lacksList) {
+    mExchange.Send(aHost, [&](HostMessage& aMessage) {
+      aMessage.mRequestsTable = lacksTable;
+      aMessage.mRequestsList = lacksList;
+    });
+  }
+}
+
 void
 SiteFeed::Handle(const HostMessage& aMessage)
 {
@@ -687,6 +725,7 @@
     mListReads.ResultArrived(aMessage.mHost, now);
   }
   AnswerRequests(aMessage);
+  RequestMissingContent(aMessage);
   mContext.OfferCapacity();
 }
 
--- a/Source/Entry/SiteFeed.h
+++ b/Source/Entry/SiteFeed.h
@@ -67,6 +67,12 @@
   void AddTargetList(HostMessage& aMessage);
   void ApplyTargetListFrom(const HostMessage& aMessage);
   void AnswerRequests(const HostMessage& aMessage);
+  /// Requests the sender's table and target list if they are still newer than
+  /// this host's after a delay.
+  void RequestMissingContent(const HostMessage& aMessage);
+  Task<void> RequestAfterDelay(std::string aHost,
+                               std::int64_t aTableRevision,
+                               std::int64_t aListRevision);
 
   EntryContext& mContext;
   HostExchange& mExchange;
@@ -96,7 +102,7 @@
   MonotonicTime mFlushAt;
   asio::steady_timer mFlushTimer;
   std::uint64_t mSentLoadVersion = 0;
-  MonotonicTime mNextContentRequest;
+  bool mContentRequestPending = false;
   SilenceWatch mSilence;
 };
 
--- /dev/null
+++ b/Tests/Entry/HostExchangeTest.cxx
@@ -0,0 +1,256 @@
+#include "Entry/HostExchange.h"
+#include "Core/BootClock.h"
+#include "Support/Section.h"
+
+#include <algorithm>
+#include <cppunit/extensions/HelperMacros.h>
+
+namespace ragwortdeck {
+
+namespace {
+
+/// Timeout that ends a test that hangs; no check depends on its length.
+constexpr std::chrono::seconds kHangTimeout{ 60 };
+
+/// \brief Some hosts that exchange datagrams over loopback addresses.
+class Fleet
+{
+public:
+  struct Host
+  {
+    std::string mAddress;
+    std::unique_ptr<HostExchange> mExchange;
+    std::vector<HostMessage> mReceived;
+  };
+
+  /// aDomains[i] is the failure domain of host i.
+  explicit Fleet(const std::vector<std::string>& aDomains)
+    : mIo(1)
+    , mRandom(11)
+  {
+    // Any free port serves, as long as it is the same for all hosts.
+    udp::socket probe(mIo, { asio::ip::make_address("127.0.3.1"), 0 });
+    mPort = probe.local_endpoint().port();
+    probe.close();
+    for (std::size_t i = 0; i < aDomains.size(); ++i) {
+      auto host = std::make_unique<Host>();
+      host->mAddress = "127.0.3." + std::to_string(i + 1);
+      host->mExchange =
+        std::make_unique<HostExchange>(mIo,
+                                       mClock,
+                                       mRandom,
+                                       Endpoint{ host->mAddress, mPort },
+                                       aDomains[i],
+                                       20,
+                                       i + 1);
+      const auto error = host->mExchange->Open();
+      CPPUNIT_ASSERT_MESSAGE(error.value_or(""), !error);
+      host->mExchange->Start(
+        [](const std::string&, HostExchange::Content, HostMessage&) {},
+        [self = host.get()](const HostMessage& aMessage) {
+          self->mReceived.push_back(aMessage);
+        });
+      mHosts.push_back(std::move(host));
+    }
+  }
+
+  /// Every host hears of every other one.
+  void Introduce()
+  {
+    for (const auto& from : mHosts) {
+      for (const auto& to : mHosts) {
+        from->mExchange->AddHost(to->mAddress);
+      }
+      from->mExchange->Broadcast();
+    }
+    RunUntil([&] {
+      return std::all_of(mHosts.begin(), mHosts.end(), [&](const auto& aHost) {
+        return aHost->mExchange->LiveHosts().size() + 1 == mHosts.size();
+      });
+    });
+    RunIdle();
+    for (const auto& it : mHosts) {
+      it->mReceived.clear();
+    }
+  }
+
+  void RunUntil(const std::function<bool()>& aDone)
+  {
+    const auto until = std::chrono::steady_clock::now() + kHangTimeout;
+    while (!aDone()) {
+      CPPUNIT_ASSERT_MESSAGE("the test timed out",
+                             std::chrono::steady_clock::now() < until);
+      mIo.run_one_for(std::chrono::milliseconds(20));
+    }
+  }
+
+  /// Runs until no datagram is left: loopback delivers at once.
+  void RunIdle()
+  {
+    while (mIo.run_one_for(std::chrono::milliseconds(20)) > 0) {
+    }
+  }
+
+  void SendRaw(std::size_t aFrom, std::size_t aTo, const std::string& aBytes)
+  {
+    udp::socket socket(mIo,
+                       { asio::ip::make_address(mHosts[aFrom]->mAddress), 0 });
+    socket.send_to(asio::buffer(aBytes),
+                   { asio::ip::make_address(mHosts[aTo]->mAddress), mPort });
+  }
+
+  Host& At(std::size_t aIndex) { return *mHosts[aIndex]; }
+  const std::vector<std::unique_ptr<Host>>& Hosts() const { return mHosts; }
+
+private:
+  asio::io_context mIo;
+  BootClock mClock;
+  RandomSource mRandom;
+  std::uint16_t mPort = 0;
+  std::vector<std::unique_ptr<Host>> mHosts;
+};
+
+std::string
+Pack(const HostMessage& aMessage)
+{
+  msgpack::sbuffer bytes;
+  msgpack::pack(bytes, aMessage);
+  return { bytes.data(), bytes.size() };
+}
+
+} // namespace
+
+/// \brief Tests the datagrams between entry hosts.
+class HostExchangeTest : public CppUnit::TestFixture
+{
+  CPPUNIT_TEST_SUITE(HostExchangeTest);
+  CPPUNIT_TEST(TestBroadcast);
+  CPPUNIT_TEST(TestMixedVersions);
+  CPPUNIT_TEST(TestForeignDatagrams);
+  CPPUNIT_TEST_SUITE_END();
+
+public:
+  void TestBroadcast()
+  {
+    Fleet fleet({ "a", "a", "a", "b", "b", "b", "b", "c", "c", "c" });
+    fleet.Introduce();
+    Section("a message to all reaches each other host once, with its sender's "
+            "name and time",
+            [&] {
+              fleet.At(0).mExchange->Broadcast(
+                [](HostMessage& aMessage) { aMessage.mTableRevision = 5; });
+              fleet.RunIdle();
+              CPPUNIT_ASSERT(fleet.At(0).mReceived.empty());
+              const auto sentAt = fleet.At(1).mReceived.at(0).mSentAt;
+              for (std::size_t i = 1; i < 10; ++i) {
+                const auto& received = fleet.At(i).mReceived;
+                CPPUNIT_ASSERT_EQUAL(std::size_t(1), received.size());
+                CPPUNIT_ASSERT_EQUAL(fleet.At(0).mAddress, received[0].mHost);
+                CPPUNIT_ASSERT_EQUAL(std::int64_t(5),
+                                     received[0].mTableRevision);
+                CPPUNIT_ASSERT_EQUAL(sentAt, received[0].mSentAt);
+              }
+            });
+    Section("one host of each other domain passed it on", [&] {
+      const auto countRelayed = [&] {
+        std::uint64_t n = 0;
+        for (const auto& it : fleet.Hosts()) {
+          n += it->mExchange->Relayed();
+        }
+        return n;
+      };
+      const auto before = countRelayed();
+      fleet.At(0).mExchange->Broadcast();
+      fleet.RunIdle();
+      CPPUNIT_ASSERT_EQUAL(before + 2, countRelayed());
+    });
+  }
+
+  void TestMixedVersions()
+  {
+    Section("a host of an older version, without a domain, receives all "
+            "messages and is not asked to pass any on",
+            [&] {
+              Fleet fleet({ "a", "a", "a", "b", "b", "b", "b", "" });
+              fleet.Introduce();
+              auto& old = fleet.At(7);
+              for (int i = 0; i < 20; ++i) {
+                fleet.At(0).mExchange->Broadcast();
+              }
+              fleet.RunIdle();
+              CPPUNIT_ASSERT_EQUAL(std::size_t(20), old.mReceived.size());
+              for (const auto& it : old.mReceived) {
+                CPPUNIT_ASSERT_EQUAL(static_cast<int>(MessagePath::kDirect),
+                                     it.mPath);
+              }
+              old.mExchange->Broadcast();
+              fleet.RunIdle();
+              for (std::size_t i = 0; i < 7; ++i) {
+                CPPUNIT_ASSERT_EQUAL(old.mAddress,
+                                     fleet.At(i).mReceived.back().mHost);
+              }
+            });
+  }
+
+  void TestForeignDatagrams()
+  {
+    Fleet fleet({ "a", "b", "b", "b" });
+    // Host 3 is not introduced: it is foreign to the others.
+    fleet.At(0).mExchange->AddHost(fleet.At(1).mAddress);
+    fleet.At(1).mExchange->AddHost(fleet.At(0).mAddress);
+    fleet.At(0).mExchange->Broadcast();
+    fleet.RunIdle();
+    auto& receiver = fleet.At(1);
+    receiver.mReceived.clear();
+    HostMessage message;
+    message.mHost = fleet.At(0).mAddress;
+    message.mIncarnation = 99;
+    message.mSentAt = 1;
+    const auto packed = Pack(message);
+    const auto isDropped = [&](std::size_t aFrom, const std::string& aBytes) {
+      const auto before = receiver.mExchange->Dropped();
+      fleet.SendRaw(aFrom, 1, aBytes);
+      fleet.RunUntil([&] {
+        return receiver.mExchange->Dropped() > before ||
+               !receiver.mReceived.empty();
+      });
+      CPPUNIT_ASSERT(receiver.mReceived.empty());
+      CPPUNIT_ASSERT_EQUAL(before + 1, receiver.mExchange->Dropped());
+    };
+    Section("a message in another host's name", [&] { isDropped(3, packed); });
+    Section("a relayed message from a host that is not known", [&] {
+      message.mPath = static_cast<int>(MessagePath::kRelayed);
+      isDropped(3, Pack(message));
+    });
+    Section("truncated messages", [&] {
+      for (std::size_t n = 0; n < packed.size(); ++n) {
+        isDropped(0, packed.substr(0, n));
+      }
+    });
+    Section("an array that claims four billion elements, and one of depth "
+            "60,000",
+            [&] {
+              isDropped(0, std::string("\xdd\xff\xff\xff\xff", 5));
+              isDropped(0, std::string(60000, '\x91'));
+            });
+    Section("random bytes", [&] {
+      RandomSource random(20261204);
+      for (int i = 0; i < 2000; ++i) {
+        std::string bytes(random.Below(200), ' ');
+        for (auto& it : bytes) {
+          it = static_cast<char>(random.Below(256));
+        }
+        isDropped(0, bytes);
+      }
+    });
+    Section("after these the next message is received", [&] {
+      fleet.SendRaw(0, 1, packed);
+      fleet.RunIdle();
+      CPPUNIT_ASSERT_EQUAL(std::size_t(1), receiver.mReceived.size());
+    });
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(HostExchangeTest);
+
+} // namespace ragwortdeck
