--- a/Source/Entry/CallerSession.cxx
+++ b/Source/Entry/CallerSession.cxx
@@ -47,6 +47,32 @@
          aError != http::error::partial_message;
 }
 
+/// \brief Registers a request that is being served, for its lifetime.
+class ActiveRequest
+{
+public:
+  ActiveRequest(EntryContext& aContext, CallerRequest& aRequest)
+    : mContext(aContext)
+    , mRequest(aRequest)
+    , mBytes(aRequest.mRequest.body().size())
+  {
+    mContext.mActive.insert(&mRequest);
+    mContext.mBufferedBytes += mBytes;
+  }
+  ~ActiveRequest()
+  {
+    mContext.mActive.erase(&mRequest);
+    mContext.mBufferedBytes -= mBytes;
+  }
+  ActiveRequest(const ActiveRequest&) = delete;
+  ActiveRequest& operator=(const ActiveRequest&) = delete;
+
+private:
+  EntryContext& mContext;
+  CallerRequest& mRequest;
+  std::size_t mBytes;
+};
+
 } // namespace
 
 CallerSession::CallerSession(EntryContext& aContext, tcp::socket aSocket)
@@ -66,12 +92,17 @@
     if (!co_await ReadRequest(*request)) {
       break;
     }
-    const auto bytes = request->mRequest.body().size();
-    mContext.mBufferedBytes += bytes;
-    ++mContext.mActive;
-    const bool keepOpen = co_await Serve(request);
-    --mContext.mActive;
-    mContext.mBufferedBytes -= bytes;
+    const ActiveRequest active(mContext, *request);
+    bool keepOpen = false;
+    try {
+      keepOpen = co_await Serve(request);
+    } catch (const std::exception& ec) {
+      // How far the request got is not known, so the connection is closed,
+      // which promises nothing.
+      request->Finish(CallerRequest::End::kCallerGone);
+      request->mOnEnd = nullptr;
+      mContext.LogUnexpectedError(request->mCallerHeaders.mId.c_str(), ec);
+    }
     if (!keepOpen) {
       break;
     }
--- a/Source/Entry/Departures.cxx
+++ b/Source/Entry/Departures.cxx
@@ -65,8 +65,7 @@
   }
   exchange.Send(planner,
                 [&](HostMessage& aMessage) { aMessage.mDeparting = own; });
-  asio::co_spawn(
-    mContext.mIo, PlanOwnAfterTimeout(std::move(own)), asio::detached);
+  mContext.Spawn("plan_own", PlanOwnAfterTimeout(std::move(own)));
 }
 
 void
@@ -75,7 +74,7 @@
   mPlanner.AddRuns(aRuns, mContext.Now());
   if (!mPlanning && mPlanner.HasUnplanned()) {
     mPlanning = true;
-    asio::co_spawn(mContext.mIo, PlanAfterCollecting(), asio::detached);
+    mContext.Spawn("plan", PlanAfterCollecting());
   }
 }
 
--- a/Source/Entry/EntryContext.cxx
+++ b/Source/Entry/EntryContext.cxx
@@ -1,9 +1,14 @@
 #include "Entry/EntryContext.h"
 
+#include "Entry/CallerRequest.h"
+
 namespace ragwortdeck {
 
 namespace {
 
+/// Pause before a loop that an exception ended runs again.
+constexpr std::chrono::milliseconds kRestartPause{ 100 };
+
 CachedTable::Bounds
 TableBounds(const EntrySettings& aSettings)
 {
@@ -38,6 +43,62 @@
 {
 }
 
+void
+EntryContext::LogUnexpectedError(const char* aWhere,
+                                 const std::exception& aError)
+{
+  mMetrics.Count("entry_unexpected_errors_total");
+  mLog.Write("unexpected_error",
+             { { "where", aWhere }, { "why", aError.what() } });
+}
+
+void
+EntryContext::Spawn(const char* aName, Task<void> aTask)
+{
+  asio::co_spawn(
+    mIo, std::move(aTask), [this, aName](std::exception_ptr aError) {
+      if (!aError) {
+        return;
+      }
+      try {
+        std::rethrow_exception(aError);
+      } catch (const std::exception& ec) {
+        LogUnexpectedError(aName, ec);
+      }
+    });
+}
+
+void
+EntryContext::SpawnLoop(const char* aName, std::function<Task<void>()> aLoop)
+{
+  Spawn(aName,
+        [](EntryContext& aSelf,
+           const char* aLoopName,
+           std::function<Task<void>()> aBody) -> Task<void> {
+          while (true) {
+            try {
+              co_await aBody();
+              co_return;
+            } catch (const std::exception& ec) {
+              aSelf.LogUnexpectedError(aLoopName, ec);
+            }
+            co_await SleepFor(aSelf.mIo, kRestartPause);
+          }
+        }(*this, aName, std::move(aLoop)));
+}
+
+void
+EntryContext::FinishAll()
+{
+  const auto active = mActive;
+  for (auto* request : active) {
+    if (mActive.contains(request)) {
+      request->mReason = "host stops";
+      request->Finish(CallerRequest::End::kTimedOut);
+    }
+  }
+}
+
 std::vector<const TargetDirectory::Entry*>
 EntryContext::OpenTargets(const std::string& aService) const
 {
--- a/Source/Entry/EntryContext.h
+++ b/Source/Entry/EntryContext.h
@@ -17,9 +17,11 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <set>
 
 namespace ragwortdeck {
 
+class CallerRequest;
 class StreamRun;
 
 /// \brief Increments a count of requests in flight for its lifetime.
@@ -39,6 +41,32 @@
   int& mCount;
 };
 
+/// \brief Counts the bytes of one answer among those in memory for its
+/// lifetime.
+class AnswerBytes
+{
+public:
+  explicit AnswerBytes(std::size_t& aTotal)
+    : mTotal(aTotal)
+  {
+  }
+  ~AnswerBytes() { mTotal -= mBytes; }
+  AnswerBytes(const AnswerBytes&) = delete;
+  AnswerBytes& operator=(const AnswerBytes&) = delete;
+
+  void Add(std::size_t aBytes)
+  {
+    mBytes += aBytes;
+    mTotal += aBytes;
+  }
+  std::size_t Bytes() const { return mBytes; }
+  std::size_t Total() const { return mTotal; }
+
+private:
+  std::size_t& mTotal;
+  std::size_t mBytes = 0;
+};
+
 /// \brief State that the parts of one entry process share. It is used only on
 /// one thread.
 struct EntryContext
@@ -49,8 +77,21 @@
                EntrySettings aSettings,
                DecisionLog& aLog);
 
+  /// Limit of mAnswerBytes; the answer that exceeds it fails. Several targets
+  /// that send without end must not exhaust the memory of a small host.
+  static constexpr std::size_t kMaxAnswerBytesInMemory = std::size_t(24) << 20U;
+
   MonotonicTime Now() const { return mClock.Now(); }
 
+  /// Runs aTask. An exception ends only this task, with a log line.
+  void Spawn(const char* aName, Task<void> aTask);
+  /// Runs aLoop for the life of the process; an exception restarts it after a
+  /// pause.
+  void SpawnLoop(const char* aName, std::function<Task<void>()> aLoop);
+  void LogUnexpectedError(const char* aWhere, const std::exception& aError);
+  /// Ends all requests, as at their deadline. Each gets an answer.
+  void FinishAll();
+
   /// The targets of a service that accept new requests.
   std::vector<const TargetDirectory::Entry*> OpenTargets(
     const std::string& aService) const;
@@ -90,10 +131,12 @@
   std::uint64_t mNextRun = 1;
   /// Returns the number of known hosts, including this one.
   std::function<std::size_t()> mCountHosts;
+  /// Bytes of targets' answers in memory.
+  std::size_t mAnswerBytes = 0;
   /// Bytes of request bodies in memory.
   std::size_t mBufferedBytes = 0;
   /// Requests being served.
-  int mActive = 0;
+  std::set<CallerRequest*> mActive;
   bool mStopping = false;
   MonotonicTime mStoppedAt;
 };
--- a/Source/Entry/EntryProcess.cxx
+++ b/Source/Entry/EntryProcess.cxx
@@ -21,6 +21,9 @@
 /// still runs.
 constexpr milliseconds kGraceMargin{ 350 };
 constexpr milliseconds kDrainPoll{ 50 };
+/// Time for the answers to requests that still run at the end.
+constexpr milliseconds kLastAnswersTime{ 150 };
+constexpr milliseconds kLastAnswersPoll{ 5 };
 /// Pause after a failed accept, since file descriptors may be exhausted.
 constexpr milliseconds kAcceptPause{ 50 };
 constexpr milliseconds kStatusIdleTimeout{ 5000 };
@@ -119,10 +122,20 @@
                { "incarnation", mExchange.Incarnation() } });
   WaitForSignal();
   mFeed.Start();
-  asio::co_spawn(mIo, AcceptCallers(), asio::detached);
-  asio::co_spawn(mIo, AcceptStatusRequests(mReady), asio::detached);
-  asio::co_spawn(mIo, AcceptStatusRequests(mMetrics), asio::detached);
-  mIo.run();
+  mContext.SpawnLoop("accept_callers", [this] { return AcceptCallers(); });
+  mContext.SpawnLoop("accept_ready",
+                     [this] { return AcceptStatusRequests(mReady); });
+  mContext.SpawnLoop("accept_metrics",
+                     [this] { return AcceptStatusRequests(mMetrics); });
+  while (true) {
+    try {
+      mIo.run();
+      break;
+    } catch (const std::exception& ec) {
+      // Thrown by a handler; run() may be called again.
+      mContext.LogUnexpectedError("handler", ec);
+    }
+  }
   // Requests that still run refer to members of this object, so the process
   // exits without destructors; the operating system closes the connections.
   std::quick_exit(kExitSuccess);
@@ -144,12 +157,10 @@
     }
     mContext.mMetrics.Count("entry_connections_total");
     auto session = std::make_shared<CallerSession>(mContext, std::move(socket));
-    asio::co_spawn(
-      mIo,
-      [](std::shared_ptr<CallerSession> aSession) -> Task<void> {
-        co_await aSession->Run();
-      }(session),
-      asio::detached);
+    mContext.Spawn("caller",
+                   [](std::shared_ptr<CallerSession> aSession) -> Task<void> {
+                     co_await aSession->Run();
+                   }(session));
   }
 }
 
@@ -173,7 +184,7 @@
       co_await SleepFor(mIo, kAcceptPause);
       continue;
     }
-    asio::co_spawn(mIo, ServeStatus(std::move(socket)), asio::detached);
+    mContext.Spawn("status", ServeStatus(std::move(socket)));
   }
 }
 
@@ -210,8 +221,8 @@
       response.body() =
         mContext.mMetrics.ToText() + "entry_connections_opened_total " +
         std::to_string(mContext.mPool.Opened()) + "\nentry_active " +
-        std::to_string(mContext.mActive) + "\nentry_log_lines_dropped_total " +
-        std::to_string(mLog.Dropped()) +
+        std::to_string(mContext.mActive.size()) +
+        "\nentry_log_lines_dropped_total " + std::to_string(mLog.Dropped()) +
         "\nentry_peer_messages_relayed_total " +
         std::to_string(mExchange.Relayed()) +
         "\nentry_peer_messages_dropped_total " +
@@ -268,8 +279,8 @@
   }
   mContext.mStopping = true;
   mContext.mStoppedAt = mClock.Now();
-  mLog.Write("stop", { { "active", mContext.mActive } });
-  asio::co_spawn(mIo, Drain(), asio::detached);
+  mLog.Write("stop", { { "active", mContext.mActive.size() } });
+  mContext.Spawn("drain", Drain());
 }
 
 Task<void>
@@ -281,10 +292,17 @@
     std::max(milliseconds(0), mContext.mSettings.mShutdownGrace - kGraceMargin);
   const auto earliest = std::min(end, began + Duration(kServeAfterStop));
   while (mClock.Now() < end &&
-         (mClock.Now() < earliest || mContext.mActive > 0)) {
+         (mClock.Now() < earliest || !mContext.mActive.empty())) {
     co_await SleepFor(mIo, kDrainPoll);
   }
-  mLog.Write("stopped", { { "active", mContext.mActive } });
+  const auto cut = mContext.mActive.size();
+  mContext.FinishAll();
+  const auto exitAt = mClock.Now() + Duration(kLastAnswersTime);
+  while (mClock.Now() < exitAt && !mContext.mActive.empty()) {
+    co_await SleepFor(mIo, kLastAnswersPoll);
+  }
+  mLog.Write("stopped",
+             { { "ended_early", cut }, { "active", mContext.mActive.size() } });
   mIo.stop();
 }
 
--- a/Source/Entry/HostExchange.cxx
+++ b/Source/Entry/HostExchange.cxx
@@ -168,7 +168,8 @@
 {
   const auto now = mClock.Now();
   mLastBroadcast = now;
-  const bool toSilent = now - mSilentHostsSentAt >= kSilentHostInterval;
+  const bool toSilent = aClass != MessageClass::kRoutine ||
+                        now - mSilentHostsSentAt >= kSilentHostInterval;
   if (toSilent) {
     mSilentHostsSentAt = now;
   }
--- a/Source/Entry/HostExchange.h
+++ b/Source/Entry/HostExchange.h
@@ -72,7 +72,8 @@
             const std::function<void(HostMessage&)>& aAdd = {},
             Content aContent = Content::kAll);
   /// Sends one message to all known hosts, through relays to those in other
-  /// failure domains. aContent is not kAll.
+  /// failure domains. aContent is not kAll. Hosts that do not count as live, as
+  /// after a start, get routine messages once a second and others directly.
   void Broadcast(const std::function<void(HostMessage&)>& aAdd = {},
                  Content aContent = Content::kState,
                  MessageClass aClass = MessageClass::kRoutine);
--- a/Source/Entry/PlainRelay.cxx
+++ b/Source/Entry/PlainRelay.cxx
@@ -82,7 +82,15 @@
     [](std::shared_ptr<Race> aRace,
        std::shared_ptr<TargetExchange> aExchange,
        Target aServer) -> Task<void> {
-      auto outcome = co_await aExchange->Run(aServer, false);
+      TargetOutcome outcome;
+      try {
+        outcome = co_await aExchange->Run(aServer, false);
+      } catch (const std::exception& ec) {
+        // The request may have run: the outcome is the default, kBroken.
+        outcome.mTarget = aServer.mId;
+        outcome.mReason = std::string("unexpected error: ") + ec.what();
+        aExchange->Abort();
+      }
       aRace->mOutcomes.push_back(std::move(outcome));
       --aRace->mRunning;
       aRace->mSignal.cancel();
--- a/Source/Entry/SiteFeed.cxx
+++ b/Source/Entry/SiteFeed.cxx
@@ -4,6 +4,7 @@
 #include "Entry/StreamRun.h"
 
 #include <QByteArray>
+#include <QtEndian>
 
 namespace ragwortdeck {
 
@@ -65,9 +66,16 @@
   return qCompress(QByteArray::fromStdString(aBytes)).toStdString();
 }
 
+/// Returns nothing for content that is damaged or states a larger size.
 std::string
 Uncompress(const std::string& aBytes)
 {
+  constexpr std::size_t kSizeBytes = 4;
+  constexpr std::uint32_t kMaxBytes = std::uint32_t(8) << 20U;
+  if (aBytes.size() < kSizeBytes ||
+      qFromBigEndian<quint32>(aBytes.data()) > kMaxBytes) {
+    return {};
+  }
   return qUncompress(QByteArray::fromStdString(aBytes)).toStdString();
 }
 
@@ -102,17 +110,23 @@
     [this](const std::string& aHost,
            HostExchange::Content aContent,
            HostMessage& aMessage) { FillMessage(aHost, aContent, aMessage); },
-    [this](const HostMessage& aMessage) { Handle(aMessage); });
+    [this](const HostMessage& aMessage) {
+      try {
+        Handle(aMessage);
+      } catch (const std::exception& ec) {
+        mContext.LogUnexpectedError("host_message", ec);
+      }
+    });
   for (const auto& seed : mContext.mSettings.mSeeds) {
     mExchange.AddHost(seed.mAddress);
   }
   mExchange.Broadcast();
-  asio::co_spawn(mContext.mIo, TableLoop(), asio::detached);
-  asio::co_spawn(mContext.mIo, TargetLoop(), asio::detached);
-  asio::co_spawn(mContext.mIo, EngineLoop(), asio::detached);
-  asio::co_spawn(mContext.mIo, HostLoop(), asio::detached);
-  asio::co_spawn(mContext.mIo, TickLoop(), asio::detached);
-  asio::co_spawn(mContext.mIo, SilenceLoop(), asio::detached);
+  mContext.SpawnLoop("table_loop", [this] { return TableLoop(); });
+  mContext.SpawnLoop("target_loop", [this] { return TargetLoop(); });
+  mContext.SpawnLoop("engine_loop", [this] { return EngineLoop(); });
+  mContext.SpawnLoop("host_loop", [this] { return HostLoop(); });
+  mContext.SpawnLoop("tick_loop", [this] { return TickLoop(); });
+  mContext.SpawnLoop("silence_loop", [this] { return SilenceLoop(); });
 }
 
 std::size_t
@@ -346,7 +360,7 @@
             mContext.mSettings.mPeers.mAddress, hosts, id)) {
         continue;
       }
-      asio::co_spawn(mContext.mIo, QueryEngine(entry.mTarget), asio::detached);
+      mContext.Spawn("engine_query", QueryEngine(entry.mTarget));
     }
   }
 }
@@ -449,7 +463,8 @@
   for (const auto& host : others) {
     mExchange.AddHost(host);
   }
-  mExchange.Broadcast();
+  mExchange.Broadcast(
+    {}, HostExchange::Content::kState, MessageClass::kImportant);
   RequestContentAtStart(std::move(others));
   mContext.mLog.Write("registered", { { "hosts", hostNames.value().size() } });
   co_return true;
@@ -660,11 +675,10 @@
     return;
   }
   mContentRequestPending = true;
-  asio::co_spawn(mContext.mIo,
+  mContext.Spawn("content_request",
                  RequestAfterDelay(aMessage.mHost,
                                    aMessage.mTableRevision,
-                                   aMessage.mListRevision),
-                 asio::detached);
+                                   aMessage.mListRevision));
 }
 
 Task<void>
--- a/Source/Entry/StreamRun.cxx
+++ b/Source/Entry/StreamRun.cxx
@@ -25,11 +25,6 @@
 constexpr Milliseconds kCopyTimeout{ 2500 };
 /// Longest wait for the end of a move after the engine closed the stream.
 constexpr Milliseconds kMoveTimeout{ 2600 };
-/// Silence after which an idempotent stream continues at another engine, as a
-/// multiple of the longest gap between events that still has full value, but at
-/// least kMinSilence.
-constexpr int kSilenceGapFactor = 6;
-constexpr Milliseconds kMinSilence{ 900 };
 /// Penalty for an engine in another failure domain, as delay of the first
 /// token: traffic between domains costs money.
 constexpr double kOtherDomainPenaltyMs = 25;
@@ -48,6 +43,27 @@
 
 } // namespace
 
+/// \brief Ends a move when it goes out of scope, however it ended.
+class StreamRun::MoveEnd
+{
+public:
+  explicit MoveEnd(StreamRun& aRun)
+    : mRun(aRun)
+  {
+  }
+  ~MoveEnd()
+  {
+    mRun.NotifyFirstCopyDone();
+    mRun.mMoving = false;
+    mRun.mSignal.cancel();
+  }
+  MoveEnd(const MoveEnd&) = delete;
+  MoveEnd& operator=(const MoveEnd&) = delete;
+
+private:
+  StreamRun& mRun;
+};
+
 StreamRun::StreamRun(EntryContext& aContext,
                      std::shared_ptr<CallerRequest> aRequest,
                      beast::tcp_stream& aCaller)
@@ -57,6 +73,7 @@
   , mId(aContext.mNextRun++)
   , mMoveReservationId(aContext.mNextRun++)
   , mLastEventId(mRequest->mCallerHeaders.mLastEventId)
+  , mProgressTimer(aContext.mIo)
   , mSignal(aContext.mIo)
 {
   if (const auto* service = mRequest->mTable->FindService(mRequest->mService);
@@ -214,7 +231,6 @@
     }
   };
   mContext.CountRequest(mRequest->mService);
-  const auto& route = *mRequest->mRoute;
   Result result;
   int unreachable = 0;
   bool mayHaveRun = false;
@@ -255,8 +271,7 @@
     }
     mayHaveRun = mayHaveRun || sent == SendResult::kBroken;
     wasFull = wasFull || sent == SendResult::kNotRun;
-    if (!route.IsIdempotent() || mRequest->mAttempts >= route.mMaxAttempts ||
-        !mContext.TryRetry(mRequest->mService)) {
+    if (!std::exchange(mRetryCharged, false) && !TryNextEngine()) {
       break;
     }
     mContext.mMetrics.Count("entry_retries_total");
@@ -277,6 +292,65 @@
   co_return result;
 }
 
+bool
+StreamRun::TryNextEngine()
+{
+  const auto& route = *mRequest->mRoute;
+  return route.IsIdempotent() && mRequest->mAttempts < route.mMaxAttempts &&
+         mContext.TryRetry(mRequest->mService);
+}
+
+void
+StreamRun::WatchProgress(TargetConnectionPtr aConnection, MonotonicTime aDue)
+{
+  mProgressDue = aDue;
+  mLongestGap = Duration(0);
+  if (mRequest->mRoute->IsIdempotent()) {
+    CheckProgress(std::move(aConnection));
+  }
+}
+
+void
+StreamRun::CheckProgress(TargetConnectionPtr aConnection)
+{
+  mProgressTimer.expires_after(
+    std::max(Duration(0), mProgressDue - mContext.Now()));
+  mProgressTimer.async_wait(
+    [self = weak_from_this(), aConnection](const error_code& aError) {
+      const auto run = self.lock();
+      if (aError || !run || run->mConnection != aConnection ||
+          run->mRequest->HasEnded()) {
+        return;
+      }
+      const auto now = run->mContext.Now();
+      if (now < run->mProgressDue) {
+        run->CheckProgress(aConnection);
+      } else if (!run->mMoving && run->TryNextEngine()) {
+        run->mRetryCharged = true;
+        aConnection->Close();
+      } else {
+        // There is no other engine to go on at, and this one may still answer.
+        run->mProgressDue = now + Duration(run->Patience());
+        run->CheckProgress(aConnection);
+      }
+    });
+}
+
+Milliseconds
+StreamRun::Patience() const
+{
+  return LongestSilence(mRequest->mRoute->mEventGapGoal, mLongestGap);
+}
+
+void
+StreamRun::RecordProgress(MonotonicTime aNow)
+{
+  if (mEvents > 0) {
+    mLongestGap = std::max(mLongestGap, aNow - mLastEventAt);
+  }
+  mProgressDue = aNow + Duration(Patience());
+}
+
 Task<StreamRun::SendResult>
 StreamRun::SendOnce(std::optional<RunMemory> aMemory)
 {
@@ -299,13 +373,10 @@
   auto request = std::make_shared<http::request<http::string_body>>(
     MakeTargetRequest(*mRequest, mContext.mCodec, headers));
   mSentAt = mContext.Now();
-  // Silence fails a stream only when it may continue at another engine.
-  if (mRequest->mRoute->IsIdempotent()) {
-    connection->mStream.expires_after(
-      FirstTokenTimeout(mExpectedFirstToken, mRequest->mRoute->mLatencyGoal));
-  } else {
-    connection->mStream.expires_never();
-  }
+  connection->mStream.expires_never();
+  WatchProgress(connection,
+                mSentAt + FirstTokenTimeout(mExpectedFirstToken,
+                                            mRequest->mRoute->mLatencyGoal));
   http::async_write(connection->mStream,
                     *request,
                     [connection, request](const error_code&, std::size_t) {});
@@ -315,7 +386,8 @@
   if (ec) {
     connection->Close();
     if (!mRequest->HasEnded()) {
-      mRequest->mReason = engine.mId + ": " + ec.message();
+      mRequest->mReason =
+        engine.mId + ": " + (mRetryCharged ? "no progress" : ec.message());
       mContext.mHealth.Failed(engine.mId, mContext.Now());
     }
     co_return SendResult::kBroken;
@@ -356,8 +428,9 @@
   std::unique_ptr<http::response_parser<http::buffer_body>> aParser)
 {
   std::string body;
+  AnswerBytes bytes(mContext.mAnswerBytes);
   // aParser shows whether the body is complete.
-  co_await ReadBody(*aConnection, *aParser, body);
+  co_await ReadBody(*aConnection, *aParser, bytes, body);
   const auto& header = aParser->get();
   const auto responseHeaders =
     mContext.mCodec.ReadTargetResponseHeaders(header);
@@ -386,16 +459,13 @@
   TargetConnectionPtr aConnection,
   std::unique_ptr<http::response_parser<http::buffer_body>> aParser)
 {
-  const bool idempotent = mRequest->mRoute->IsIdempotent();
-  const auto silence = std::max<Milliseconds>(
-    kMinSilence, mRequest->mRoute->mEventGapGoal * kSilenceGapFactor);
   std::vector<char> buf(kReadBytes);
   EventSplitter events;
   bool first = true;
   while (true) {
     while (auto event = events.Next()) {
       const auto now = mContext.Now();
-      if (first) {
+      if (first && event->mHasContent) {
         first = false;
         mContext.mLoad.OnPrefillDone(mId);
       }
@@ -405,18 +475,21 @@
       if (id && last && *id <= *last) {
         continue;
       }
-      if (mEvents == 0) {
-        mFirstEventAt = now;
-        mContext.mMetrics.Observe("entry_first_event_ms",
-                                  now - mRequest->mArrived);
+      if (event->mHasContent) {
+        RecordProgress(now);
+        if (mEvents == 0) {
+          mFirstEventAt = now;
+          mContext.mMetrics.Observe("entry_first_event_ms",
+                                    now - mRequest->mArrived);
+        }
+        mLastEventAt = now;
+        ++mEvents;
+        mRequest->mEvents = mEvents;
+        if (!event->mId.empty()) {
+          mLastEventId = event->mId;
+        }
+        mContext.mLoad.OnTokensGenerated(mId, GeneratedTokens());
       }
-      mLastEventAt = now;
-      ++mEvents;
-      mRequest->mEvents = mEvents;
-      if (!event->mId.empty()) {
-        mLastEventId = event->mId;
-      }
-      mContext.mLoad.OnTokensGenerated(mId, GeneratedTokens());
       const auto ec = co_await mCaller.WriteEvent(std::move(event->mBytes));
       if (ec) {
         mRequest->Finish(CallerRequest::End::kCallerGone);
@@ -434,9 +507,6 @@
     }
     aParser->get().body().data = buf.data();
     aParser->get().body().size = buf.size();
-    if (idempotent) {
-      aConnection->mStream.expires_after(silence);
-    }
     error_code ec;
     co_await http::async_read_some(
       aConnection->mStream, aConnection->mBuffer, *aParser, RedirectError(ec));
@@ -446,7 +516,8 @@
       if (mRequest->HasEnded()) {
         co_return SendResult::kBroken;
       }
-      mRequest->mReason = mEngine.mId + ": " + ec.message();
+      mRequest->mReason =
+        mEngine.mId + ": " + (mRetryCharged ? "no progress" : ec.message());
       if (!mMoving) {
         mContext.mHealth.Failed(mEngine.mId, mContext.Now());
       }
@@ -534,15 +605,10 @@
   }
   mMoving = true;
   mPlan = std::move(aPlan);
-  asio::co_spawn(
-    mContext.mIo,
-    [](std::shared_ptr<StreamRun> aSelf) -> Task<void> {
-      co_await aSelf->Move();
-      aSelf->NotifyFirstCopyDone();
-      aSelf->mMoving = false;
-      aSelf->mSignal.cancel();
-    }(shared_from_this()),
-    asio::detached);
+  mContext.Spawn("move", [](std::shared_ptr<StreamRun> aSelf) -> Task<void> {
+    const MoveEnd end(*aSelf);
+    co_await aSelf->Move();
+  }(shared_from_this()));
 }
 
 void
--- a/Source/Entry/StreamRun.h
+++ b/Source/Entry/StreamRun.h
@@ -59,6 +59,8 @@
   std::optional<RunningStream> Running() const;
 
 private:
+  class MoveEnd;
+
   /// How one attempt at an engine ended.
   enum class SendResult
   {
@@ -81,6 +83,16 @@
   std::optional<Target> ChooseTarget(const std::set<std::string>& aExcluded,
                                      const std::string& aDomain,
                                      double aOtherDomainPenaltyMs);
+  /// Starts to check the progress on aConnection; the first event is due by
+  /// aDue.
+  void WatchProgress(TargetConnectionPtr aConnection, MonotonicTime aDue);
+  void CheckProgress(TargetConnectionPtr aConnection);
+  void RecordProgress(MonotonicTime aNow);
+  /// How long the stream may make no progress.
+  Milliseconds Patience() const;
+  /// Whether the request may be sent to one more engine; charges the retry
+  /// allowance if so.
+  bool TryNextEngine();
   Task<SendResult> SendOnce(std::optional<RunMemory> aMemory);
   Task<SendResult> RelayEvents(
     TargetConnectionPtr aConnection,
@@ -125,6 +137,14 @@
   Milliseconds mExpectedFirstToken{ 0 };
   std::optional<http::response<http::string_body>> mPlainAnswer;
   bool mPlacedWhileWaiting = false;
+  /// Closes mConnection when the stream makes no progress until mProgressDue
+  /// and may go on at another engine.
+  asio::steady_timer mProgressTimer;
+  MonotonicTime mProgressDue;
+  /// Longest gap between two events of the current run.
+  Duration mLongestGap{ 0 };
+  /// The retry allowance was charged when the engine was given up.
+  bool mRetryCharged = false;
   /// Cancelled to wake the coroutine that waits.
   asio::steady_timer mSignal;
 
--- a/Source/Entry/TargetConnection.h
+++ b/Source/Entry/TargetConnection.h
@@ -11,6 +11,10 @@
 /// \brief A connection to a target or to the store; closed by its destructor.
 struct TargetConnection
 {
+  /// Bytes that are read ahead. A header, or a chunk's extension, that does not
+  /// fit fails the answer.
+  static constexpr std::size_t kMaxBufferedBytes = std::size_t(128) << 10U;
+
   TargetConnection(asio::io_context& aContext, const Endpoint& aEndpoint)
     : mEndpoint(aEndpoint)
     , mStream(aContext)
@@ -23,8 +27,9 @@
 
   Endpoint mEndpoint;
   beast::tcp_stream mStream;
-  beast::flat_buffer mBuffer;
-  /// The connection was taken from the pool.
+  beast::flat_buffer mBuffer{ kMaxBufferedBytes };
+  /// The connection was taken from the pool, so a late copy of an answer to an
+  /// earlier request may arrive on it.
   bool mReused = false;
   /// The connection must not be reused after this time.
   MonotonicTime mIdleUntil;
--- a/Source/Entry/TargetExchange.cxx
+++ b/Source/Entry/TargetExchange.cxx
@@ -11,13 +11,19 @@
 /// Late answers to other requests that are skipped on one connection.
 constexpr int kMaxLateAnswers = 3;
 constexpr std::size_t kReadBytes = 8192;
+/// A longer late answer fails the connection.
+constexpr std::size_t kMaxDiscardedBytes = std::size_t(256) << 10U;
 
 } // namespace
 
+namespace {
+
+/// Reads the rest of the body of aParser; aTake gets each part and returns
+/// whether to go on.
 Task<error_code>
-ReadBody(TargetConnection& aConnection,
-         http::response_parser<http::buffer_body>& aParser,
-         std::string& aBody)
+ReadParts(TargetConnection& aConnection,
+          http::response_parser<http::buffer_body>& aParser,
+          std::function<bool(std::string_view)> aTake)
 {
   std::vector<char> buf(kReadBytes);
   error_code ec;
@@ -26,17 +32,51 @@
     aParser.get().body().size = buf.size();
     co_await http::async_read_some(
       aConnection.mStream, aConnection.mBuffer, aParser, RedirectError(ec));
-    aBody.append(buf.data(), buf.size() - aParser.get().body().size);
-    if (ec == http::error::need_buffer) {
-      ec = {};
+    const bool proceed =
+      aTake({ buf.data(), buf.size() - aParser.get().body().size });
+    if (ec && ec != http::error::need_buffer) {
+      co_return ec;
     }
-    if (ec || aBody.size() > TargetExchange::kMaxAnswerBytes) {
-      co_return ec ? ec : http::error::body_limit;
+    if (!proceed) {
+      co_return http::error::body_limit;
     }
   }
   co_return error_code{};
 }
 
+Task<error_code>
+DiscardBody(TargetConnection& aConnection,
+            http::response_parser<http::buffer_body>& aParser)
+{
+  std::size_t size = 0;
+  co_return co_await ReadParts(
+    aConnection, aParser, [&](std::string_view aPart) {
+      size += aPart.size();
+      return size <= kMaxDiscardedBytes;
+    });
+}
+
+} // namespace
+
+Task<error_code>
+ReadBody(TargetConnection& aConnection,
+         http::response_parser<http::buffer_body>& aParser,
+         AnswerBytes& aBytes,
+         std::string& aBody)
+{
+  co_return co_await ReadParts(
+    aConnection, aParser, [&](std::string_view aPart) {
+      if (aBytes.Bytes() + aPart.size() > TargetExchange::kMaxAnswerBytes ||
+          aBytes.Total() + aPart.size() >
+            EntryContext::kMaxAnswerBytesInMemory) {
+        return false;
+      }
+      aBytes.Add(aPart.size());
+      aBody.append(aPart);
+      return true;
+    });
+}
+
 Task<error_code>
 ReadAnswerHeader(
   TargetConnection& aConnection,
@@ -59,8 +99,12 @@
     }
     const auto responseHeaders =
       aCodec.ReadTargetResponseHeaders(aParser->get());
+    // A refusal may come without the id, from a target that did not read the
+    // request. On a reused connection it may be the late answer to an earlier
+    // request, and this one may run.
     if (responseHeaders.mId == aId ||
-        (responseHeaders.mId.empty() && responseHeaders.mNotRun)) {
+        (responseHeaders.mId.empty() && responseHeaders.mNotRun &&
+         !aConnection.mReused)) {
       co_return error_code{};
     }
     // The answer belongs to another request. Without a length, the start of the
@@ -68,8 +112,7 @@
     if (responseHeaders.mId.empty() || aParser->need_eof()) {
       break;
     }
-    std::string discarded;
-    ec = co_await ReadBody(aConnection, *aParser, discarded);
+    ec = co_await DiscardBody(aConnection, *aParser);
     if (ec) {
       co_return ec;
     }
@@ -120,7 +163,7 @@
     if (mRequest.mRequest.method() == http::verb::head) {
       parser->skip(true);
     }
-    ec = co_await ReadBody(*connection, *parser, body);
+    ec = co_await ReadBody(*connection, *parser, mAnswerBytes, body);
   }
   const auto now = mContext.Now();
   if (mAborted) {
--- a/Source/Entry/TargetExchange.h
+++ b/Source/Entry/TargetExchange.h
@@ -37,6 +37,7 @@
     : mContext(aContext)
     , mSharedRequest(std::move(aRequest))
     , mRequest(*mSharedRequest)
+    , mAnswerBytes(aContext.mAnswerBytes)
   {
   }
 
@@ -51,6 +52,7 @@
   std::shared_ptr<const CallerRequest> mSharedRequest;
   const CallerRequest& mRequest;
   TargetConnectionPtr mConnection;
+  AnswerBytes mAnswerBytes;
   bool mAborted = false;
 };
 
@@ -65,10 +67,11 @@
   std::unique_ptr<http::response_parser<http::buffer_body>>& aParser);
 
 /// Reads the rest of the body of aParser into aBody, up to
-/// TargetExchange::kMaxAnswerBytes.
+/// TargetExchange::kMaxAnswerBytes and as aBytes permits, to which it is added.
 Task<error_code>
 ReadBody(TargetConnection& aConnection,
          http::response_parser<http::buffer_body>& aParser,
+         AnswerBytes& aBytes,
          std::string& aBody);
 
 } // namespace ragwortdeck
--- a/Source/Serving/EventSplitter.cxx
+++ b/Source/Serving/EventSplitter.cxx
@@ -4,29 +4,31 @@
 
 namespace {
 
-std::string
-IdOf(std::string_view aEvent)
+void
+ReadFields(std::string_view aEvent, StreamEvent& aResult)
 {
-  constexpr std::string_view kField = "id:";
+  constexpr std::string_view kIdField = "id:";
+  constexpr std::string_view kDataField = "data";
   while (!aEvent.empty()) {
     const auto end = aEvent.find('\n');
     auto line = aEvent.substr(0, end);
-    if (line.starts_with(kField)) {
-      line.remove_prefix(kField.size());
+    aResult.mHasContent = aResult.mHasContent || line.starts_with(kDataField);
+    if (aResult.mId.empty() && line.starts_with(kIdField)) {
+      line.remove_prefix(kIdField.size());
       if (line.starts_with(' ')) {
         line.remove_prefix(1);
       }
       if (line.ends_with('\r')) {
         line.remove_suffix(1);
       }
-      return std::string(line);
+      aResult.mId = line;
+      aResult.mHasContent = true;
     }
     if (end == std::string_view::npos) {
       break;
     }
     aEvent.remove_prefix(end + 1);
   }
-  return {};
 }
 
 } // namespace
@@ -53,7 +55,7 @@
     if (next < mBuffer.size() && mBuffer[next] == '\n') {
       StreamEvent event;
       event.mBytes = mBuffer.substr(mStart, next + 1 - mStart);
-      event.mId = IdOf(event.mBytes);
+      ReadFields(event.mBytes, event);
       mStart = next + 1;
       return event;
     }
--- a/Source/Serving/EventSplitter.h
+++ b/Source/Serving/EventSplitter.h
@@ -12,6 +12,8 @@
   std::string mBytes;
   /// Value of its id field; empty if it has none.
   std::string mId;
+  /// It has an id or data, unlike a comment that only keeps a connection open.
+  bool mHasContent = false;
   bool operator==(const StreamEvent&) const = default;
 };
 
--- a/Source/Serving/SilenceWatch.cxx
+++ b/Source/Serving/SilenceWatch.cxx
@@ -32,4 +32,17 @@
   return silent;
 }
 
+Milliseconds
+LongestSilence(Milliseconds aGapGoal, Duration aLongestGap)
+{
+  constexpr int kGapGoalFactor = 6;
+  constexpr int kSeenGapFactor = 3;
+  // A prefill on the same engine delays single events by this much.
+  constexpr Milliseconds kMinSilence{ 900 };
+  return std::max(
+    { kMinSilence,
+      aGapGoal * kGapGoalFactor,
+      std::chrono::duration_cast<Milliseconds>(aLongestGap * kSeenGapFactor) });
+}
+
 } // namespace ragwortdeck
--- a/Source/Serving/SilenceWatch.h
+++ b/Source/Serving/SilenceWatch.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "Core/Clock.h"
+#include "Serving/ServingTable.h"
 
 #include <map>
 #include <string>
@@ -42,4 +43,14 @@
   std::map<std::string, MonotonicTime> mReportedAt;
 };
 
+/// Returns how long a stream may make no progress before it goes on at another
+/// engine, where it may. aGapGoal is the longest gap between events that still
+/// has full value, aLongestGap the longest one of this stream so far.
+///
+/// Only complete events with content are progress: an engine that is stuck may
+/// still send comments, or single bytes. An engine that is slow but steady has
+/// shown its gaps, and keeps its stream.
+Milliseconds
+LongestSilence(Milliseconds aGapGoal, Duration aLongestGap);
+
 } // namespace ragwortdeck
--- /dev/null
+++ b/Tests/Entry/FieldFailuresTest.cxx
@@ -0,0 +1,399 @@
+#include "Entry/RelayWorld.h"
+#include "Entry/TargetExchange.h"
+#include "Support/Section.h"
+
+#include <algorithm>
+#include <cppunit/extensions/HelperMacros.h>
+
+namespace ragwortdeck {
+
+namespace {
+
+constexpr const char* kEndOfStream = "\r\n0\r\n\r\n";
+
+bool
+Contains(const std::string& aText, const std::string& aPart)
+{
+  return aText.find(aPart) != std::string::npos;
+}
+
+std::string
+Chunk(const std::string& aBytes)
+{
+  char size[16];
+  std::snprintf(size, sizeof(size), "%zx\r\n", aBytes.size());
+  return size + aBytes + "\r\n";
+}
+
+/// \brief A target that writes a first part and then small pieces for as long
+/// as the host keeps the connection.
+class DrippingTarget
+{
+public:
+  DrippingTarget(ScriptedTarget& aTarget,
+                 const std::string& aFirst,
+                 std::string aPiece)
+    : mTarget(aTarget)
+    , mPiece(std::move(aPiece))
+  {
+    aTarget.AddScript([this, aFirst](tcp::socket& aSocket, const std::string&) {
+      WriteAll(aSocket, aFirst);
+      mSocket = &aSocket;
+      return true;
+    });
+  }
+  /// Writes one more piece; false once the host has closed the connection.
+  bool Drip()
+  {
+    if (!mSocket) {
+      return true;
+    }
+    if (mTarget.PeerClosed()) {
+      return false;
+    }
+    if (mPending.empty()) {
+      mPending = mPiece;
+    }
+    error_code ec;
+    mSocket->non_blocking(true, ec);
+    const auto n = mSocket->write_some(asio::buffer(mPending), ec);
+    mPending.erase(0, n);
+    mWritten += n;
+    return true;
+  }
+  std::size_t Written() const { return mWritten; }
+
+private:
+  ScriptedTarget& mTarget;
+  std::string mPiece;
+  /// The part of a piece that the socket did not take yet.
+  std::string mPending;
+  tcp::socket* mSocket = nullptr;
+  std::size_t mWritten = 0;
+};
+
+} // namespace
+
+/// \brief Replays failures that operators of similar systems have reported; see
+/// docs/field-failures.md.
+class FieldFailuresTest : public CppUnit::TestFixture
+{
+  CPPUNIT_TEST_SUITE(FieldFailuresTest);
+  CPPUNIT_TEST(TestSecondCopyOfAnAnswer);
+  CPPUNIT_TEST(TestStalledStreams);
+  CPPUNIT_TEST(TestSlowSoundStreams);
+  CPPUNIT_TEST(TestEndlessHeads);
+  CPPUNIT_TEST(TestEndlessBodies);
+  CPPUNIT_TEST(TestRequestsAtTheEndOfTheGrace);
+  CPPUNIT_TEST_SUITE_END();
+
+public:
+  void TestSecondCopyOfAnAnswer()
+  {
+    const auto first = RelayWorld::Answer("id1", "first");
+    const auto sendLater = [&](const std::string& aCopy) {
+      // The copy arrives where the answer to the second request is due.
+      RelayWorld world;
+      auto& target = world.AddTarget("t1");
+      target.AddScript([&](tcp::socket& aSocket, const std::string&) {
+        WriteAll(aSocket, first);
+        return true;
+      });
+      target.AddScript([&](tcp::socket& aSocket, const std::string&) {
+        WriteAll(aSocket, aCopy + RelayWorld::Answer("id2", "second"));
+        return true;
+      });
+      world.Start();
+      const auto caller = world.Call(RelayWorld::Request("unsafe", "id1"));
+      world.Reply(*caller, "first");
+      WriteAll(*caller, RelayWorld::Request("unsafe", "id2"));
+      const auto reply = world.Reply(*caller, "\r\n\r\n");
+      CPPUNIT_ASSERT_EQUAL(std::uint64_t(1), world.Context().mPool.Opened());
+      return reply;
+    };
+    Section("a whole copy is skipped",
+            [&] { CPPUNIT_ASSERT(Contains(sendLater(first), "200 OK")); });
+    Section("a copy without an id is no answer to the second request", [&] {
+      CPPUNIT_ASSERT(sendLater("HTTP/1.1 200 OK\r\nResponse-Seal: s\r\n"
+                               "Content-Length: 5\r\n\r\nfirst")
+                       .starts_with("HTTP/1.1 502"));
+    });
+    Section("a late refusal without an id does not say that the second request "
+            "has not run",
+            [&] {
+              CPPUNIT_ASSERT(
+                sendLater("HTTP/1.1 503 Full\r\nNot-Executed: 1\r\n"
+                          "Content-Length: 0\r\n\r\n")
+                  .starts_with("HTTP/1.1 502"));
+            });
+    Section("a copy that ends early", [&] {
+      CPPUNIT_ASSERT(
+        !Contains(sendLater(first.substr(0, first.size() - 2)), "first"));
+    });
+    Section("a copy whose end is not marked", [&] {
+      CPPUNIT_ASSERT(sendLater("HTTP/1.1 200 OK\r\nAttempt-Id: id1\r\n"
+                               "Response-Seal: s\r\n\r\nfirst")
+                       .starts_with("HTTP/1.1 502"));
+    });
+  }
+
+  void TestStalledStreams()
+  {
+    const auto movesOn = [&](const std::string& aFirst,
+                             const std::string& aPiece) {
+      RelayWorld world;
+      world.mLatencyGoal = Milliseconds(400);
+      world.mEventGapGoal = Milliseconds(50);
+      auto& stalled = world.AddTarget("t1");
+      auto& second = world.AddTarget("t2");
+      DrippingTarget drip(stalled, aFirst, aPiece);
+      second.AddScript([](tcp::socket& aSocket, const std::string&) {
+        WriteAll(aSocket,
+                 RelayWorld::StreamHead("id1") + RelayWorld::Event(1) +
+                   RelayWorld::Event(2) + "0\r\n\r\n");
+        return false;
+      });
+      world.Start();
+      world.Context().mHealth.Unreachable("t2", world.Context().Now());
+      const auto caller = world.Call(RelayWorld::Request("short", "id1"));
+      world.RunUntil(
+        [&] { return !drip.Drip() && !second.Requests().empty(); });
+      const auto reply = world.Reply(*caller, kEndOfStream);
+      CPPUNIT_ASSERT(reply.ends_with(kEndOfStream));
+      CPPUNIT_ASSERT(Contains(reply, "id: 2\n"));
+    };
+    Section("bytes of an event that never ends are no progress", [&] {
+      movesOn(RelayWorld::StreamHead("id1") + RelayWorld::Event(1), Chunk("d"));
+    });
+    Section("comments are no progress", [&] {
+      movesOn(RelayWorld::StreamHead("id1") + RelayWorld::Event(1),
+              Chunk(":\n\n"));
+    });
+    Section("a stream that begins with comments only", [&] {
+      movesOn(RelayWorld::StreamHead("id1"), Chunk(": wait\n\n"));
+    });
+    Section("a header that arrives byte by byte",
+            [&] { movesOn("HTTP/1.1 200 OK\r\nX-Slow: ", "a"); });
+    Section("a stream that may not go on elsewhere ends with its time", [&] {
+      RelayWorld world;
+      world.mRouteTimeout = Milliseconds(1500);
+      world.mEventGapGoal = Milliseconds(50);
+      DrippingTarget drip(world.AddTarget("t1"),
+                          RelayWorld::StreamHead("id1") + RelayWorld::Event(1),
+                          Chunk("d"));
+      world.Start();
+      const auto caller = world.Call(RelayWorld::Request("long", "id1"));
+      world.RunUntil([&] { return !drip.Drip(); });
+      CPPUNIT_ASSERT(
+        !Contains(world.Reply(*caller, kEndOfStream), kEndOfStream));
+    });
+  }
+
+  void TestSlowSoundStreams()
+  {
+    // Each pause is longer than the silence after which a stream goes on
+    // elsewhere, but this is the last engine that the request may be sent to.
+    RelayWorld world;
+    world.mLatencyGoal = Milliseconds(400);
+    world.mEventGapGoal = Milliseconds(50);
+    auto& first = world.AddTarget("t1");
+    auto& second = world.AddTarget("t2");
+    first.AddScript([](tcp::socket&, const std::string&) { return false; });
+    asio::steady_timer timer(world.Context().mIo);
+    std::function<void(tcp::socket&, int)> sendSlowly =
+      [&](tcp::socket& aSocket, int aEvent) {
+        WriteAll(aSocket,
+                 aEvent <= 3 ? RelayWorld::Event(aEvent) : "0\r\n\r\n");
+        if (aEvent <= 3) {
+          timer.expires_after(std::chrono::milliseconds(1500));
+          timer.async_wait([&, aEvent](const error_code& aError) {
+            if (!aError) {
+              sendSlowly(aSocket, aEvent + 1);
+            }
+          });
+        }
+      };
+    second.AddScript([&](tcp::socket& aSocket, const std::string&) {
+      WriteAll(aSocket, RelayWorld::StreamHead("id1"));
+      sendSlowly(aSocket, 1);
+      return true;
+    });
+    world.Start();
+    world.Context().mHealth.Unreachable("t2", world.Context().Now());
+    const auto caller = world.Call(RelayWorld::Request("short", "id1"));
+    const auto reply = world.Reply(*caller, kEndOfStream);
+    Section("the stream is not cut", [&] {
+      CPPUNIT_ASSERT(reply.ends_with(kEndOfStream));
+      CPPUNIT_ASSERT(Contains(reply, "id: 3\n"));
+      CPPUNIT_ASSERT_EQUAL(std::size_t(1), second.Requests().size());
+    });
+  }
+
+  void TestEndlessHeads()
+  {
+    const auto answerTo = [&](const std::string& aFirst,
+                              const std::string& aPiece) {
+      RelayWorld world;
+      DrippingTarget endless(world.AddTarget("t1"), aFirst, aPiece);
+      world.Start();
+      const auto caller = world.Call(RelayWorld::Request("unsafe", "id1"));
+      world.RunUntil([&] { return !endless.Drip(); });
+      return world.Reply(*caller, "\r\n\r\n");
+    };
+    const std::string kilobyte(1024, 'x');
+    Section("header lines without end", [&] {
+      CPPUNIT_ASSERT(answerTo("HTTP/1.1 200 OK\r\n", "X: " + kilobyte + "\r\n")
+                       .starts_with("HTTP/1.1 502"));
+    });
+    Section("one line without end", [&] {
+      CPPUNIT_ASSERT(
+        answerTo("HTTP/1.1 200 ", kilobyte).starts_with("HTTP/1.1 502"));
+    });
+    Section("interim answers without end", [&] {
+      CPPUNIT_ASSERT(answerTo("", "HTTP/1.1 102 Processing\r\n\r\n")
+                       .starts_with("HTTP/1.1 502"));
+    });
+    Section("late answers without end", [&] {
+      CPPUNIT_ASSERT(answerTo("", RelayWorld::Answer("other", kilobyte))
+                       .starts_with("HTTP/1.1 502"));
+    });
+  }
+
+  void TestEndlessBodies()
+  {
+    const std::string kilobyte(1024, 'x');
+    const std::string chunkedHead =
+      "HTTP/1.1 200 OK\r\nAttempt-Id: id1\r\nResponse-Seal: s\r\n"
+      "Transfer-Encoding: chunked\r\n\r\n";
+    const auto writtenBeforeClose = [&](const std::string& aKind,
+                                        const std::string& aFirst,
+                                        const std::string& aPiece) {
+      RelayWorld world;
+      DrippingTarget endless(world.AddTarget("t1"), aFirst, aPiece);
+      world.Start();
+      const auto caller = world.Call(RelayWorld::Request(aKind, "id1"));
+      world.RunUntil([&] { return !endless.Drip(); });
+      CPPUNIT_ASSERT(
+        world.Reply(*caller, "\r\n\r\n").starts_with("HTTP/1.1 502"));
+      return endless.Written();
+    };
+    // Counted is what the target could send, which includes what the kernel
+    // buffers on both sides: up to 10 MB.
+    constexpr std::size_t kMegabyte = std::size_t(1) << 20U;
+    constexpr std::size_t kSocketBuffers = 10 * kMegabyte;
+    Section("a chunk extension", [&] {
+      CPPUNIT_ASSERT(writtenBeforeClose(
+                       "unsafe", chunkedHead + "5;a=", kilobyte) < kMegabyte);
+    });
+    Section("a trailer", [&] {
+      CPPUNIT_ASSERT(writtenBeforeClose("unsafe",
+                                        chunkedHead + "0\r\n",
+                                        "X: " + kilobyte + "\r\n") <
+                     kMegabyte + kSocketBuffers);
+    });
+    Section("the body of a late answer to another request", [&] {
+      CPPUNIT_ASSERT(
+        writtenBeforeClose("unsafe",
+                           "HTTP/1.1 200 OK\r\nAttempt-Id: other\r\n"
+                           "Transfer-Encoding: chunked\r\n\r\n",
+                           Chunk(kilobyte)) < kMegabyte + kSocketBuffers);
+    });
+    Section("an answer", [&] {
+      CPPUNIT_ASSERT(writtenBeforeClose(
+                       "unsafe", chunkedHead, Chunk(std::string(65536, 'x'))) <
+                     TargetExchange::kMaxAnswerBytes + kMegabyte +
+                       kSocketBuffers);
+    });
+    Section("one event of a stream", [&] {
+      CPPUNIT_ASSERT(writtenBeforeClose("long",
+                                        RelayWorld::StreamHead("id1"),
+                                        Chunk(std::string(16384, 'x'))) <
+                     2 * kMegabyte + kSocketBuffers);
+    });
+    Section(
+      "answers of many targets at once stay within the host's memory", [&] {
+        RelayWorld world;
+        std::vector<std::unique_ptr<DrippingTarget>> endless;
+        constexpr int kTargets = 12;
+        std::vector<ScriptedTarget*> targets;
+        for (int i = 0; i < kTargets; ++i) {
+          targets.push_back(&world.AddTarget("t" + std::to_string(i)));
+          endless.push_back(std::make_unique<DrippingTarget>(
+            *targets.back(),
+            "HTTP/1.1 200 OK\r\nAttempt-Id: id1\r\n"
+            "Response-Seal: s\r\n"
+            "Transfer-Encoding: chunked\r\n\r\n",
+            Chunk(std::string(65536, 'x'))));
+        }
+        world.Start();
+        std::vector<std::shared_ptr<tcp::socket>> callers;
+        for (int i = 0; i < kTargets; ++i) {
+          callers.push_back(world.Call(RelayWorld::Request("unsafe", "id1")));
+          // Each request goes to the one target that is idle.
+          world.RunUntil([&] {
+            return std::count_if(
+                     targets.begin(), targets.end(), [](const auto* aItem) {
+                       return !aItem->Requests().empty();
+                     }) == i + 1;
+          });
+        }
+        std::size_t most = 0;
+        world.RunUntil([&] {
+          bool open = false;
+          for (const auto& it : endless) {
+            open = it->Drip() || open;
+          }
+          most = std::max(most, world.Context().mAnswerBytes);
+          return !open;
+        });
+        CPPUNIT_ASSERT(most > 0);
+        CPPUNIT_ASSERT(most <= EntryContext::kMaxAnswerBytesInMemory);
+        for (const auto& it : callers) {
+          CPPUNIT_ASSERT(
+            world.Reply(*it, "\r\n\r\n").starts_with("HTTP/1.1 502"));
+        }
+        CPPUNIT_ASSERT_EQUAL(std::size_t(0), world.Context().mAnswerBytes);
+      });
+  }
+
+  void TestRequestsAtTheEndOfTheGrace()
+  {
+    // A host that stops answers what it still serves before it exits: the
+    // request may have run, so the answer is not "has not run".
+    RelayWorld world;
+    world.mRouteTimeout = std::chrono::hours(1);
+    const auto withoutDeadline = [](std::string aRequest) {
+      return aRequest.replace(aRequest.find("30000"), 5, "3600000");
+    };
+    auto& target = world.AddTarget("t1");
+    target.AddScript([](tcp::socket&, const std::string&) { return true; });
+    auto& engine = world.AddTarget("t2");
+    engine.AddScript([](tcp::socket& aSocket, const std::string&) {
+      WriteAll(aSocket, RelayWorld::StreamHead("id2") + RelayWorld::Event(1));
+      return true;
+    });
+    world.Start();
+    world.Context().mHealth.Unreachable("t2", world.Context().Now());
+    const auto plain =
+      world.Call(withoutDeadline(RelayWorld::Request("unsafe", "id1")));
+    world.RunUntil([&] { return !target.Requests().empty(); });
+    world.Context().mHealth.Succeeded("t2", Milliseconds(1));
+    world.Context().mHealth.Unreachable("t1", world.Context().Now());
+    const auto stream =
+      world.Call(withoutDeadline(RelayWorld::Request("long", "id2")));
+    auto begun = world.Reply(*stream, "id: 1\n");
+    world.Context().FinishAll();
+    Section("a request without an answer so far", [&] {
+      CPPUNIT_ASSERT(
+        world.Reply(*plain, "\r\n\r\n").starts_with("HTTP/1.1 504"));
+    });
+    Section("a stream that has begun does not look complete", [&] {
+      CPPUNIT_ASSERT(
+        !Contains(world.Reply(*stream, kEndOfStream), kEndOfStream));
+    });
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(FieldFailuresTest);
+
+} // namespace ragwortdeck
--- a/Tests/Entry/RelayWorld.cxx
+++ b/Tests/Entry/RelayWorld.cxx
@@ -30,9 +30,6 @@
   route.mHost = "shop.example";
   route.mPathPrefix = "/" + aName + "/";
   route.mKind = aKind;
-  route.mTimeout = Milliseconds(30000);
-  route.mLatencyGoal = Milliseconds(20000);
-  route.mEventGapGoal = Milliseconds(5000);
   route.mMaxAttempts = aAttempts;
   route.mResumable = aName == "short";
   route.mServices = { { "s", 1 } };
@@ -125,6 +122,17 @@
 {
 }
 
+RelayWorld::~RelayWorld()
+{
+  const auto until = std::chrono::steady_clock::now() + kHangTimeout;
+  mEntry->FinishAll();
+  while (!mEntry->mActive.empty() && std::chrono::steady_clock::now() < until) {
+    mIo.run_one_for(std::chrono::milliseconds(50));
+  }
+  while (mIo.poll() > 0) {
+  }
+}
+
 ScriptedTarget&
 RelayWorld::AddTarget(const std::string& aId)
 {
@@ -135,13 +143,19 @@
 void
 RelayWorld::Start()
 {
+  std::vector<Route> routes = { MakeRoute("safe", RouteKind::kSafe, 2),
+                                MakeRoute("unsafe", RouteKind::kUnsafe, 1),
+                                MakeRoute("long", RouteKind::kStream, 1),
+                                MakeRoute("short", RouteKind::kStream, 2) };
+  for (auto& it : routes) {
+    it.mTimeout = mRouteTimeout;
+    it.mLatencyGoal = mLatencyGoal;
+    it.mEventGapGoal = mEventGapGoal;
+  }
   mEntry->mTable.Apply(
     std::make_shared<const ServingTable>(
       ServingTable::Create(1,
-                           { MakeRoute("safe", RouteKind::kSafe, 2),
-                             MakeRoute("unsafe", RouteKind::kUnsafe, 1),
-                             MakeRoute("long", RouteKind::kStream, 1),
-                             MakeRoute("short", RouteKind::kStream, 2) },
+                           std::move(routes),
                            { { "s", 100, std::nullopt } },
                            {},
                            { { "team", { "secret" }, std::nullopt } })),
--- a/Tests/Entry/RelayWorld.h
+++ b/Tests/Entry/RelayWorld.h
@@ -43,8 +43,17 @@
 {
 public:
   RelayWorld();
+  /// Ends the requests that still run, since their coroutines refer to the
+  /// context.
+  ~RelayWorld();
+  RelayWorld(const RelayWorld&) = delete;
+  RelayWorld& operator=(const RelayWorld&) = delete;
 
   ScriptedTarget& AddTarget(const std::string& aId);
+  /// Goals and timeout of all routes; set before Start().
+  Milliseconds mRouteTimeout{ 30000 };
+  Milliseconds mLatencyGoal{ 20000 };
+  Milliseconds mEventGapGoal{ 5000 };
   /// Applies the table and the target list; called once, after AddTarget().
   void Start();
   /// Opens a connection and sends aBytes; Reply() reads the answer.
--- a/Tests/Serving/PlacementTest.cxx
+++ b/Tests/Serving/PlacementTest.cxx
@@ -66,6 +66,7 @@
   CPPUNIT_TEST(TestSimultaneousChoices);
   CPPUNIT_TEST(TestFirstTokenTimeout);
   CPPUNIT_TEST(TestSilence);
+  CPPUNIT_TEST(TestLongestSilence);
   CPPUNIT_TEST(TestWaitingLine);
   CPPUNIT_TEST(TestRetryAfter);
   CPPUNIT_TEST(TestServerChoice);
@@ -554,9 +555,9 @@
       CPPUNIT_ASSERT(!events.Next());
       events.Append("\nid: 2\r\ndata: b\r\n\r\nid: 3\nda");
       CPPUNIT_ASSERT(*events.Next() ==
-                     (StreamEvent{ "id: 1\ndata: a\n\n", "1" }));
+                     (StreamEvent{ "id: 1\ndata: a\n\n", "1", true }));
       CPPUNIT_ASSERT(*events.Next() ==
-                     (StreamEvent{ "id: 2\r\ndata: b\r\n\r\n", "2" }));
+                     (StreamEvent{ "id: 2\r\ndata: b\r\n\r\n", "2", true }));
       CPPUNIT_ASSERT(!events.Next());
       CPPUNIT_ASSERT(events.HasPartial());
     });
@@ -566,6 +567,27 @@
                            events.Next()->mBytes);
       CPPUNIT_ASSERT(!events.HasPartial());
     });
+    Section("a comment has no content", [&] {
+      events.Append(": wait\n\ndata: d\n\n");
+      CPPUNIT_ASSERT(*events.Next() ==
+                     (StreamEvent{ ": wait\n\n", "", false }));
+      CPPUNIT_ASSERT(*events.Next() ==
+                     (StreamEvent{ "data: d\n\n", "", true }));
+    });
+  }
+
+  void TestLongestSilence()
+  {
+    Section("a stuck engine is given up after some times the goal", [&] {
+      CPPUNIT_ASSERT(LongestSilence(milliseconds(180), milliseconds(40)) ==
+                     milliseconds(1080));
+      CPPUNIT_ASSERT(LongestSilence(milliseconds(20), milliseconds(0)) ==
+                     milliseconds(900));
+    });
+    Section("an engine that has shown longer gaps keeps its stream", [&] {
+      CPPUNIT_ASSERT(LongestSilence(milliseconds(180), milliseconds(700)) ==
+                     milliseconds(2100));
+    });
   }
 };
 
