Entry, Serving: Keep the load of silent hosts, and spread contents from the first reader

Cause: the load of a host that was silent for 4 s was dropped, though a suspended host's runs go on, so others overcommitted its engines. And when a whole fleet starts, many hosts read the store since the first reader's link is slow or knows them not yet: requests for content were answered only by hosts that had it.

Change: the load of a silent host falls evenly from 4 s to 10 s, as its runs end, and counts in full again with its next report. Hosts with fast links read first at a start. A host that is asked for content that it lacks sends it once it has it, so contents spread from the first reader.

The test of silent peers was replaced: it asserted that all load is gone after 4.01 s; now it asserts what is left at 4, 4.01 and 7 s, and that it is gone after 10 s. It failed before the change.

--- a/Source/Entry/SiteFeed.cxx
+++ b/Source/Entry/SiteFeed.cxx
@@ -30,8 +30,6 @@
 /// Otherwise all hosts of a large site that start together would read the store
 /// at the same moment.
 constexpr std::size_t kHostsQueriedAtStart = 3;
-constexpr milliseconds kFirstReadDelay{ 40 };
-constexpr milliseconds kFirstReadSpread{ 160 };
 /// Longest time between two broadcasts, which keep this host live for others.
 constexpr milliseconds kHeartbeat{ 1000 };
 /// Increases of this host's load within this time are sent in one message.
@@ -96,9 +94,11 @@
   , mListReads(aContext.mSettings.mPeers.mAddress, kListTiming)
   , mFlushTimer(aContext.mIo)
 {
-  const auto first = aContext.Now() + Duration(kFirstReadDelay) +
-                     std::chrono::duration_cast<Duration>(
-                       kFirstReadSpread * aContext.mRandom.Unit());
+  const auto bounds = SharedReads::FirstReadOf(aContext.mSettings.mLinkMbps);
+  const auto first =
+    aContext.Now() + bounds.mEarliest +
+    std::chrono::duration_cast<Duration>((bounds.mLatest - bounds.mEarliest) *
+                                         aContext.mRandom.Unit());
   mTableReads.DeferUntil(first);
   mListReads.DeferUntil(first);
 }
@@ -167,6 +167,7 @@
       // Each host gets a time of its own for which the table is confirmed.
       mExchange.SendToEach(
         [](HostMessage& aMessage) { aMessage.mTableRead = true; });
+      SendToContentWaiters();
     } else {
       mTableReads.Failed(Rank(), mContext.Now());
     }
@@ -276,6 +277,7 @@
         },
         HostExchange::Content::kState,
         MessageClass::kImportant);
+      SendToContentWaiters();
     } else {
       mListReads.Failed(Rank(), mContext.Now());
     }
@@ -656,6 +658,11 @@
   if (!aMessage.mRequestsTable && !aMessage.mRequestsList) {
     return;
   }
+  if ((aMessage.mRequestsTable && !mContext.mTable.Table()) ||
+      (aMessage.mRequestsList && !mContext.mTargets.IsKnown())) {
+    mContentWaiters.insert(aMessage.mHost);
+    return;
+  }
   mExchange.Send(aMessage.mHost, [&](HostMessage& aAnswer) {
     if (aMessage.mRequestsTable) {
       AddTable(aAnswer);
@@ -666,6 +673,20 @@
   });
 }
 
+void
+SiteFeed::SendToContentWaiters()
+{
+  if (!mContext.mTable.Table() || !mContext.mTargets.IsKnown()) {
+    return;
+  }
+  for (const auto& host : std::exchange(mContentWaiters, {})) {
+    mExchange.Send(host, [this](HostMessage& aMessage) {
+      AddTable(aMessage);
+      AddTargetList(aMessage);
+    });
+  }
+}
+
 void
 SiteFeed::RequestMissingContent(const HostMessage& aMessage)
 {
@@ -740,6 +761,7 @@
   }
   AnswerRequests(aMessage);
   RequestMissingContent(aMessage);
+  SendToContentWaiters();
   mContext.OfferCapacity();
 }
 
--- a/Source/Entry/SiteFeed.h
+++ b/Source/Entry/SiteFeed.h
@@ -5,6 +5,8 @@
 #include "Serving/SharedReads.h"
 #include "Serving/SilenceWatch.h"
 
+#include <set>
+
 namespace ragwortdeck {
 
 /// \brief Keeps the serving table, the target list, the host list and the
@@ -67,6 +69,9 @@
   void AddTargetList(HostMessage& aMessage);
   void ApplyTargetListFrom(const HostMessage& aMessage);
   void AnswerRequests(const HostMessage& aMessage);
+  /// Sends the contents to the hosts that requested them before this host had
+  /// any, as when a whole fleet starts: so they spread from the first reader.
+  void SendToContentWaiters();
   /// Requests the sender's table and target list if they are still newer than
   /// this host's after a delay.
   void RequestMissingContent(const HostMessage& aMessage);
@@ -103,6 +108,7 @@
   asio::steady_timer mFlushTimer;
   std::uint64_t mSentLoadVersion = 0;
   bool mContentRequestPending = false;
+  std::set<std::string> mContentWaiters;
   SilenceWatch mSilence;
 };
 
--- a/Source/Serving/FleetLoad.cxx
+++ b/Source/Serving/FleetLoad.cxx
@@ -1,6 +1,7 @@
 #include "Serving/FleetLoad.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace ragwortdeck {
 
@@ -99,31 +100,56 @@
 }
 
 void
-FleetLoad::SetPeer(const std::string& aPeer,
-                   const std::vector<EngineLoad>& aLoads,
-                   MonotonicTime aNow)
+FleetLoad::Count(Peer& aPeer, std::vector<EngineLoad> aLoads)
 {
-  auto& peer = mPeers[aPeer];
-  for (const auto& load : peer.mLoads) {
+  for (const auto& load : aPeer.mCounted) {
     Add(mOthers, load, -1);
   }
-  peer = { aLoads, aNow };
-  for (const auto& load : peer.mLoads) {
+  aPeer.mCounted = std::move(aLoads);
+  for (const auto& load : aPeer.mCounted) {
     Add(mOthers, load, 1);
   }
 }
 
+void
+FleetLoad::SetPeer(const std::string& aPeer,
+                   const std::vector<EngineLoad>& aLoads,
+                   MonotonicTime aNow)
+{
+  auto& peer = mPeers[aPeer];
+  Count(peer, aLoads);
+  peer.mReported = aLoads;
+  peer.mReceivedAt = aNow;
+}
+
 void
 FleetLoad::Expire(MonotonicTime aNow)
 {
-  std::erase_if(mPeers, [&](const auto& aItem) {
-    if (aNow - aItem.second.mReceivedAt <= kPeerTimeout) {
-      return false;
+  for (auto& [name, peer] : mPeers) {
+    const auto silent = aNow - peer.mReceivedAt;
+    if (silent <= kPeerTimeout) {
+      continue;
     }
-    for (const auto& load : aItem.second.mLoads) {
-      Add(mOthers, load, -1);
+    const double share =
+      std::max(0.0,
+               static_cast<double>((kPeerGone - silent).count()) /
+                 static_cast<double>((kPeerGone - kPeerTimeout).count()));
+    std::vector<EngineLoad> left;
+    for (const auto& load : peer.mReported) {
+      const auto runs = static_cast<int>(std::ceil(load.mRuns * share));
+      if (runs > 0) {
+        // Prompts are processed within this time.
+        left.push_back({ load.mTarget,
+                         runs,
+                         static_cast<std::int64_t>(
+                           static_cast<double>(load.mReservedTokens) * share),
+                         0 });
+      }
     }
-    return true;
+    Count(peer, std::move(left));
+  }
+  std::erase_if(mPeers, [&](const auto& aItem) {
+    return aNow - aItem.second.mReceivedAt > kPeerGone;
   });
 }
 
--- a/Source/Serving/FleetLoad.h
+++ b/Source/Serving/FleetLoad.h
@@ -35,9 +35,12 @@
 class FleetLoad
 {
 public:
-  /// The load of a peer that has sent nothing for this long is dropped: the
-  /// engines have dropped its runs by then.
+  /// A peer that has sent nothing for this long may be gone. If it is only
+  /// suspended or cut off, its runs go on, so their load is not dropped but
+  /// falls evenly to nothing until kPeerGone, as the runs end.
   static constexpr Duration kPeerTimeout = std::chrono::seconds(4);
+  /// Most runs that a peer had when it fell silent have ended after this time.
+  static constexpr Duration kPeerGone = std::chrono::seconds(10);
 
   /// \brief A generation that this host runs on an engine.
   struct Run
@@ -67,7 +70,8 @@
   void SetPeer(const std::string& aPeer,
                const std::vector<EngineLoad>& aLoads,
                MonotonicTime aNow);
-  /// Drops the loads of peers that have sent nothing for kPeerTimeout.
+  /// Reduces the loads of peers that have sent nothing for kPeerTimeout, and
+  /// drops them after kPeerGone.
   void Expire(MonotonicTime aNow);
 
   /// Returns the load on aTarget, summed over all hosts.
@@ -78,9 +82,13 @@
 private:
   struct Peer
   {
-    std::vector<EngineLoad> mLoads;
+    std::vector<EngineLoad> mReported;
+    /// The part of mReported that is counted in mOthers.
+    std::vector<EngineLoad> mCounted;
     MonotonicTime mReceivedAt;
   };
+  /// Counts aLoads instead of what was counted for aPeer so far.
+  void Count(Peer& aPeer, std::vector<EngineLoad> aLoads);
 
   void OnOwnLoadChanged(bool aRunAdded);
   static void Add(std::map<std::string, EngineLoad>& aSums,
--- a/Source/Serving/SharedReads.cxx
+++ b/Source/Serving/SharedReads.cxx
@@ -44,6 +44,22 @@
     });
 }
 
+SharedReads::FirstRead
+SharedReads::FirstReadOf(int aLinkMbps)
+{
+  using std::chrono::milliseconds;
+  // A starting host registers and requests the contents from others first.
+  constexpr milliseconds kEarliest{ 40 };
+  constexpr milliseconds kMinSpread{ 60 };
+  constexpr milliseconds kMaxSpread{ 160 };
+  // Time in which a link of 1 Mbit/s sends some table contents.
+  constexpr milliseconds kTimeAtOneMbps{ 3000 };
+  const auto sendTime =
+    std::min(kMaxSpread, kTimeAtOneMbps / std::max(1, aLinkMbps));
+  const Duration earliest = kEarliest + sendTime;
+  return { earliest, earliest + std::max(kMinSpread, sendTime) };
+}
+
 std::string
 SharedReads::FastOwnerOf(const FleetHost& aSelf,
                          const std::vector<FleetHost>& aHosts,
--- a/Source/Serving/SharedReads.h
+++ b/Source/Serving/SharedReads.h
@@ -80,6 +80,19 @@
                                  const std::vector<FleetHost>& aHosts,
                                  const std::string& aItem);
 
+  /// Bounds of the delay before the first read of a starting host.
+  struct FirstRead
+  {
+    Duration mEarliest{ 0 };
+    Duration mLatest{ 0 };
+  };
+  /// Returns the bounds for a host with a link of aLinkMbps.
+  ///
+  /// Covers the start of a whole fleet at once: whoever reads first sends the
+  /// result to all others, which takes a slow link long, and hosts that wait
+  /// for it in vain read as well. So hosts with fast links go first.
+  static FirstRead FirstReadOf(int aLinkMbps);
+
   /// Lets no read be due before aTime, unless a result arrives first.
   void DeferUntil(MonotonicTime aTime) { mDeferredUntil = aTime; }
   /// When the next read of this host is due, given its rank.
--- a/Tests/Entry/FieldFailuresTest.cxx
+++ b/Tests/Entry/FieldFailuresTest.cxx
@@ -74,6 +74,21 @@
 
 } // namespace
 
+/// \brief A codec that fails in the way of a fault nobody foresaw.
+class ThrowingCodec : public FleetCodec
+{
+public:
+  TargetResponseHeaders ReadTargetResponseHeaders(
+    const HttpFields& aFields) const override
+  {
+    auto headers = FleetCodec::ReadTargetResponseHeaders(aFields);
+    if (headers.mId == "bad") {
+      throw std::runtime_error("unforeseen");
+    }
+    return headers;
+  }
+};
+
 /// \brief Replays failures that operators of similar systems have reported; see
 /// docs/field-failures.md.
 class FieldFailuresTest : public CppUnit::TestFixture
@@ -85,6 +100,7 @@
   CPPUNIT_TEST(TestEndlessHeads);
   CPPUNIT_TEST(TestEndlessBodies);
   CPPUNIT_TEST(TestRequestsAtTheEndOfTheGrace);
+  CPPUNIT_TEST(TestUnexpectedErrors);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -392,6 +408,61 @@
         !Contains(world.Reply(*stream, kEndOfStream), kEndOfStream));
     });
   }
+
+  void TestUnexpectedErrors()
+  {
+    RelayWorld world(std::make_unique<ThrowingCodec>());
+    auto& target = world.AddTarget("t1");
+    for (const auto* id : { "bad", "bad", "good" }) {
+      target.AddScript([id](tcp::socket& aSocket, const std::string&) {
+        WriteAll(aSocket,
+                 RelayWorld::Answer(id, "answer of " + std::string(id)));
+        return false;
+      });
+    }
+    world.Start();
+    Section(
+      "an exception while a plain request is served: it may have run", [&] {
+        const auto caller = world.Call(RelayWorld::Request("unsafe", "bad"));
+        CPPUNIT_ASSERT(
+          world.Reply(*caller, "\r\n\r\n").starts_with("HTTP/1.1 502"));
+      });
+    Section("an exception while a stream is served promises nothing", [&] {
+      const auto caller = world.Call(RelayWorld::Request("long", "bad"));
+      CPPUNIT_ASSERT(world.Reply(*caller, "\r\n\r\n").empty());
+      CPPUNIT_ASSERT(world.Context().mActive.empty());
+    });
+    Section("the next request is served", [&] {
+      const auto caller = world.Call(RelayWorld::Request("unsafe", "good"));
+      CPPUNIT_ASSERT(
+        Contains(world.Reply(*caller, "answer of good"), "200 OK"));
+    });
+    Section("a loop that fails runs again", [&] {
+      int runs = 0;
+      world.Context().SpawnLoop("test", [&]() -> Task<void> {
+        ++runs;
+        if (runs < 3) {
+          throw std::runtime_error("unforeseen");
+        }
+        co_return;
+      });
+      world.RunUntil([&] { return runs == 3; });
+    });
+    Section("a task that fails ends alone", [&] {
+      bool ended = false;
+      world.Context().Spawn("test", []() -> Task<void> {
+        throw std::runtime_error("unforeseen");
+        co_return;
+      }());
+      world.Context().Spawn("test", [](bool& aEnded) -> Task<void> {
+        aEnded = true;
+        co_return;
+      }(ended));
+      world.RunUntil([&] { return ended; });
+      const auto text = world.Context().mMetrics.ToText();
+      CPPUNIT_ASSERT(Contains(text, "entry_unexpected_errors_total 4"));
+    });
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(FieldFailuresTest);
--- a/Tests/Entry/RelayWorld.cxx
+++ b/Tests/Entry/RelayWorld.cxx
@@ -114,11 +114,15 @@
   }
 }
 
-RelayWorld::RelayWorld()
+RelayWorld::RelayWorld(std::unique_ptr<PlatformCodec> aCodec)
   : mIo(1)
   , mLog(mClock, open("/dev/null", O_WRONLY))
-  , mEntry(
-      std::make_unique<EntryContext>(mIo, mClock, mCodec, TestSettings(), mLog))
+  , mCodec(std::move(aCodec))
+  , mEntry(std::make_unique<EntryContext>(mIo,
+                                          mClock,
+                                          *mCodec,
+                                          TestSettings(),
+                                          mLog))
 {
 }
 
--- a/Tests/Entry/RelayWorld.h
+++ b/Tests/Entry/RelayWorld.h
@@ -42,7 +42,8 @@
 class RelayWorld
 {
 public:
-  RelayWorld();
+  explicit RelayWorld(
+    std::unique_ptr<PlatformCodec> aCodec = std::make_unique<FleetCodec>());
   /// Ends the requests that still run, since their coroutines refer to the
   /// context.
   ~RelayWorld();
@@ -80,7 +81,7 @@
   asio::io_context mIo;
   BootClock mClock;
   DecisionLog mLog;
-  FleetCodec mCodec;
+  std::unique_ptr<PlatformCodec> mCodec;
   std::unique_ptr<EntryContext> mEntry;
   std::vector<std::unique_ptr<ScriptedTarget>> mTargets;
 };
--- a/Tests/Serving/PlacementTest.cxx
+++ b/Tests/Serving/PlacementTest.cxx
@@ -73,6 +73,7 @@
   CPPUNIT_TEST(TestHealth);
   CPPUNIT_TEST(TestRetryAllowance);
   CPPUNIT_TEST(TestSharedReads);
+  CPPUNIT_TEST(TestFirstReads);
   CPPUNIT_TEST(TestReadersOfLargeFleet);
   CPPUNIT_TEST(TestShutdown);
   CPPUNIT_TEST(TestEvents);
@@ -114,10 +115,33 @@
       CPPUNIT_ASSERT_EQUAL(std::int64_t(100),
                            load.TotalOn("e").mPendingPrefillTokens);
     });
-    Section("the load of a silent peer expires", [&] {
-      load.Expire(At(4000));
+    Section("a silent peer may only be suspended: its load falls as its runs "
+            "end",
+            [&] {
+              const auto ownTokens = load.TotalOn("e").mReservedTokens - 3500;
+              load.Expire(At(4000));
+              CPPUNIT_ASSERT_EQUAL(2, load.TotalOn("e").mRuns);
+              CPPUNIT_ASSERT_EQUAL(std::int64_t(100),
+                                   load.TotalOn("e").mPendingPrefillTokens);
+              load.Expire(At(4011));
+              CPPUNIT_ASSERT_EQUAL(2, load.TotalOn("e").mRuns);
+              CPPUNIT_ASSERT(load.TotalOn("e").mReservedTokens >
+                             ownTokens + 3490);
+              load.Expire(At(7010));
+              CPPUNIT_ASSERT_EQUAL(2, load.TotalOn("e").mRuns);
+              CPPUNIT_ASSERT_EQUAL(ownTokens + 1750,
+                                   load.TotalOn("e").mReservedTokens);
+              CPPUNIT_ASSERT_EQUAL(std::int64_t(0),
+                                   load.TotalOn("e").mPendingPrefillTokens);
+            });
+    Section("when it reports again, its report counts in full", [&] {
+      load.SetPeer("p", { { "e", 1, 3500, 0 } }, At(7100));
       CPPUNIT_ASSERT_EQUAL(2, load.TotalOn("e").mRuns);
-      load.Expire(At(4011));
+    });
+    Section("the load of a peer that stays silent is dropped", [&] {
+      load.Expire(At(17000));
+      CPPUNIT_ASSERT_EQUAL(2, load.TotalOn("e").mRuns);
+      load.Expire(At(17111));
       CPPUNIT_ASSERT_EQUAL(1, load.TotalOn("e").mRuns);
     });
     Section("the end of a run releases all of its load", [&] {
@@ -482,6 +506,23 @@
     });
   }
 
+  void TestFirstReads()
+  {
+    Section("hosts with fast links have read before slow ones begin", [&] {
+      const auto fast = SharedReads::FirstReadOf(200);
+      const auto slow = SharedReads::FirstReadOf(20);
+      CPPUNIT_ASSERT(fast.mLatest < slow.mEarliest);
+    });
+    Section("no link delays the start of a host for long", [&] {
+      for (const int link : { 0, 1, 10, 100, 1000 }) {
+        const auto bounds = SharedReads::FirstReadOf(link);
+        CPPUNIT_ASSERT(bounds.mEarliest >= milliseconds(40));
+        CPPUNIT_ASSERT(bounds.mLatest >= bounds.mEarliest + milliseconds(60));
+        CPPUNIT_ASSERT(bounds.mLatest <= milliseconds(400));
+      }
+    });
+  }
+
   void TestReadersOfLargeFleet()
   {
     const SharedReads::Timing timing{
