--- a/Source/Entry/CallerSession.cxx
+++ b/Source/Entry/CallerSession.cxx
@@ -242,7 +242,8 @@
 }
 
 void
-CallerSession::EndWhenCallerCloses(std::shared_ptr<CallerRequest> aRequest)
+CallerSession::EndWhenCallerCloses(
+  const std::shared_ptr<CallerRequest>& aRequest)
 {
   mWatching = true;
   auto self = shared_from_this();
--- a/Source/Entry/CallerSession.h
+++ b/Source/Entry/CallerSession.h
@@ -23,7 +23,7 @@
   /// Answers a request that could not be read; the connection then closes.
   Task<void> Reject(unsigned aStatus, std::string aText);
   /// Ends aRequest when the caller closes the connection.
-  void EndWhenCallerCloses(std::shared_ptr<CallerRequest> aRequest);
+  void EndWhenCallerCloses(const std::shared_ptr<CallerRequest>& aRequest);
   /// Writes the log line and the metrics of a request that has ended.
   void LogEnd(const CallerRequest& aRequest,
               unsigned aStatus,
--- a/Source/Entry/DecisionLog.cxx
+++ b/Source/Entry/DecisionLog.cxx
@@ -18,7 +18,7 @@
 }
 
 void
-DecisionLog::Write(const char* aEvent, Fields aFields)
+DecisionLog::Write(const char* aEvent, const Fields& aFields)
 {
   constexpr double kMicrosecondsPerSecond = 1e6;
   const auto now = mClock.Now();
--- a/Source/Entry/DecisionLog.h
+++ b/Source/Entry/DecisionLog.h
@@ -24,7 +24,7 @@
   /// aFile is a file descriptor; it is made non-blocking.
   DecisionLog(const Clock& aClock, int aFile);
 
-  void Write(const char* aEvent, Fields aFields);
+  void Write(const char* aEvent, const Fields& aFields);
   std::uint64_t Dropped() const { return mDroppedTotal; }
 
 private:
--- a/Source/Entry/EntryContext.cxx
+++ b/Source/Entry/EntryContext.cxx
@@ -56,7 +56,7 @@
 EntryContext::Spawn(const char* aName, Task<void> aTask)
 {
   asio::co_spawn(
-    mIo, std::move(aTask), [this, aName](std::exception_ptr aError) {
+    mIo, std::move(aTask), [this, aName](const std::exception_ptr& aError) {
       if (!aError) {
         return;
       }
--- a/Source/Entry/SiteFeed.cxx
+++ b/Source/Entry/SiteFeed.cxx
@@ -381,11 +381,9 @@
   if (!report || !report.value().mLeaving) {
     co_return;
   }
+  const auto leavesIn = report.value().mLeavesIn;
   const std::int64_t leavesMs =
-    report.value().mLeavesIn
-      ? std::max<std::int64_t>(0,
-                               (*report.value().mLeavesIn - kReportLag).count())
-      : -1;
+    leavesIn ? std::max<std::int64_t>(0, (*leavesIn - kReportLag).count()) : -1;
   mExchange.Broadcast(
     [&](HostMessage& aMessage) {
       aMessage.mReportedLeaving = { { aEngine.mId, leavesMs } };
--- a/Source/Entry/StreamRun.cxx
+++ b/Source/Entry/StreamRun.cxx
@@ -201,9 +201,10 @@
   const auto began = mContext.Now();
   const auto wait = std::min(LongestWait(mRequest->mRoute->mLatencyGoal),
                              mRequest->TimeLeft(began));
-  const int priority = mRequest->mTeam && mRequest->mTeam->mPriority
-                         ? *mRequest->mTeam->mPriority
-                         : mRequest->mRoute->mPriority;
+  const int routePriority = mRequest->mRoute->mPriority;
+  const int priority = mRequest->mTeam
+                         ? mRequest->mTeam->mPriority.value_or(routePriority)
+                         : routePriority;
   const auto ticket =
     mContext.mLine.Enter({ priority, mRequest->mArrived, began + wait });
   mContext.mWaiting[ticket] = [this] { return TryPlace(); };
@@ -244,9 +245,12 @@
     }
     ++mRequest->mAttempts;
     auto sent = co_await SendOnce(std::nullopt);
-    while (sent == SendResult::kBroken && !mRequest->HasEnded() &&
-           co_await AwaitMove()) {
-      sent = co_await ResumeAfterMove();
+    while (sent == SendResult::kBroken && !mRequest->HasEnded()) {
+      auto moved = co_await AwaitMove();
+      if (!moved) {
+        break;
+      }
+      sent = co_await ResumeAfterMove(std::move(*moved));
     }
     mContext.mLoad.End(mId);
     mContext.OfferCapacity();
@@ -301,17 +305,18 @@
 }
 
 void
-StreamRun::WatchProgress(TargetConnectionPtr aConnection, MonotonicTime aDue)
+StreamRun::WatchProgress(const TargetConnectionPtr& aConnection,
+                         MonotonicTime aDue)
 {
   mProgressDue = aDue;
   mLongestGap = Duration(0);
   if (mRequest->mRoute->IsIdempotent()) {
-    CheckProgress(std::move(aConnection));
+    CheckProgress(aConnection);
   }
 }
 
 void
-StreamRun::CheckProgress(TargetConnectionPtr aConnection)
+StreamRun::CheckProgress(const TargetConnectionPtr& aConnection)
 {
   mProgressTimer.expires_after(
     std::max(Duration(0), mProgressDue - mContext.Now()));
@@ -719,9 +724,9 @@
       if (!move) {
         co_return false;
       }
-      mMemory = RunMemory{ source.mEndpoint, move.value().mHandle };
       // If the destination has no room, the source keeps the memory.
-      mDestination = status == kStatusOk ? aTo : source;
+      mMoved = MovedRun{ { source.mEndpoint, move.value().mHandle },
+                         status == kStatusOk ? aTo : source };
       co_return false;
     }
     if (status == kStatusNotFound || status == kStatusConflict) {
@@ -739,35 +744,33 @@
   co_return false;
 }
 
-Task<bool>
+Task<std::optional<StreamRun::MovedRun>>
 StreamRun::AwaitMove()
 {
   const auto until = mContext.Now() + kMoveTimeout;
-  while (mMoving && !mMemory && !mRequest->HasEnded() &&
+  while (mMoving && !mMoved && !mRequest->HasEnded() &&
          mContext.Now() < until) {
     mSignal.expires_after(
       std::chrono::duration_cast<Milliseconds>(until - mContext.Now()));
     error_code ec;
     co_await mSignal.async_wait(RedirectError(ec));
   }
-  co_return mMemory.has_value();
+  co_return std::exchange(mMoved, std::nullopt);
 }
 
 Task<StreamRun::SendResult>
-StreamRun::ResumeAfterMove()
+StreamRun::ResumeAfterMove(MovedRun aMoved)
 {
-  auto memory = std::exchange(mMemory, std::nullopt);
-  auto destination = std::exchange(mDestination, std::nullopt);
   const auto source = mEngine;
-  SetEngine(*destination, true);
+  SetEngine(aMoved.mDestination, true);
   ReleaseMoveReservation();
   mContext.mMetrics.Count("entry_moves_total");
-  auto sent = co_await SendOnce(memory);
-  if (sent == SendResult::kNotSent && destination->mId != source.mId &&
+  auto sent = co_await SendOnce(aMoved.mMemory);
+  if (sent == SendResult::kNotSent && aMoved.mDestination.mId != source.mId &&
       !mRequest->HasEnded()) {
     // Nothing was sent, so the handle is unused and still valid at the source.
     SetEngine(source, true);
-    sent = co_await SendOnce(memory);
+    sent = co_await SendOnce(aMoved.mMemory);
   }
   co_return sent == SendResult::kNotRun ? SendResult::kBroken : sent;
 }
--- a/Source/Entry/StreamRun.h
+++ b/Source/Entry/StreamRun.h
@@ -85,8 +85,9 @@
                                      double aOtherDomainPenaltyMs);
   /// Starts to check the progress on aConnection; the first event is due by
   /// aDue.
-  void WatchProgress(TargetConnectionPtr aConnection, MonotonicTime aDue);
-  void CheckProgress(TargetConnectionPtr aConnection);
+  void WatchProgress(const TargetConnectionPtr& aConnection,
+                     MonotonicTime aDue);
+  void CheckProgress(const TargetConnectionPtr& aConnection);
   void RecordProgress(MonotonicTime aNow);
   /// How long the stream may make no progress.
   Milliseconds Patience() const;
@@ -108,9 +109,16 @@
   bool CopyEndsInTime(const Target& aTo) const;
   void NotifyFirstCopyDone();
   Task<void> SleepUntil(MonotonicTime aTime);
-  /// Waits for a move in progress; true when the run can continue.
-  Task<bool> AwaitMove();
-  Task<SendResult> ResumeAfterMove();
+  /// \brief A run that was stopped and can continue from its memory.
+  struct MovedRun
+  {
+    RunMemory mMemory;
+    /// The engine that holds the memory or can fetch it.
+    Target mDestination;
+  };
+  /// Waits for a move in progress; empty when the run cannot continue.
+  Task<std::optional<MovedRun>> AwaitMove();
+  Task<SendResult> ResumeAfterMove(MovedRun aMoved);
   void SetEngine(const Target& aTarget, bool aPrefillDone);
   void ReleaseMoveReservation();
   FinalAnswer RefuseRequest(const std::string& aReason);
@@ -150,10 +158,7 @@
 
   bool mMoving = false;
   MovePlan mPlan;
-  /// Set when the run was stopped; it can continue from this memory.
-  std::optional<RunMemory> mMemory;
-  /// The engine that holds mMemory or can fetch it.
-  std::optional<Target> mDestination;
+  std::optional<MovedRun> mMoved;
 };
 
 } // namespace ragwortdeck
--- a/Tests/Entry/FieldFailuresTest.cxx
+++ b/Tests/Entry/FieldFailuresTest.cxx
@@ -123,7 +123,7 @@
       const auto caller = world.Call(RelayWorld::Request("unsafe", "id1"));
       world.Reply(*caller, "first");
       WriteAll(*caller, RelayWorld::Request("unsafe", "id2"));
-      const auto reply = world.Reply(*caller, "\r\n\r\n");
+      auto reply = world.Reply(*caller, "\r\n\r\n");
       CPPUNIT_ASSERT_EQUAL(std::uint64_t(1), world.Context().mPool.Opened());
       return reply;
     };
--- a/Tests/Entry/RelayTest.cxx
+++ b/Tests/Entry/RelayTest.cxx
@@ -230,8 +230,8 @@
     CPPUNIT_ASSERT(!answer);
     request->Finish(CallerRequest::End::kTimedOut);
     world.RunUntil([&] { return answer.has_value(); });
-    CPPUNIT_ASSERT(answer->mFromTarget);
-    CPPUNIT_ASSERT_EQUAL(200U, answer->mResponse.result_int());
+    CPPUNIT_ASSERT(answer && answer->mFromTarget &&
+                   answer->mResponse.result_int() == 200U);
   }
 
   void TestDeniedRequest()
