Entry: Watch the changes of the target list, and send large contents in parts

The host list was read up to its first page only.

Ruled out: reading less often, since a notice of leaving engines lasts 1.5 s; more compression, since the list grows with the fleet.

Change: the reader waits up to a period for changes after the revision it knows and applies them; a host that takes over asks for them without waiting, and reads the whole list when the store has dropped that history. Contents that exceed a datagram are sent in parts, which ContentAssembler puts together within bounded memory; a change of more than 400 targets is sent as a list. All pages of the host list are read.

--- a/Source/Entry/HostExchange.h
+++ b/Source/Entry/HostExchange.h
@@ -25,6 +25,8 @@
   /// Largest compressed table or target list, in bytes, that a datagram
   /// carries.
   static constexpr std::size_t kMaxContentBytes = std::size_t(56) << 10U;
+  /// Larger ones are sent in parts of this size.
+  static constexpr std::size_t kMaxPartBytes = std::size_t(32) << 10U;
 
   struct Peer
   {
--- a/Source/Entry/HostMessage.h
+++ b/Source/Entry/HostMessage.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "Serving/ContentParts.h"
 #include "Serving/DeparturePlan.h"
 #include "Serving/FleetLoad.h"
 #include "Serving/TargetListChange.h"
@@ -74,6 +75,8 @@
   /// A MessagePath as a number. Hosts of versions without this field and the
   /// one above take part: to them each message is sent directly.
   int mPath = static_cast<int>(MessagePath::kDirect);
+  /// Parts of a table or target list that is too large for one datagram.
+  std::vector<ContentPart> mParts;
 
   MSGPACK_DEFINE_ARRAY(mHost,
                        mIncarnation,
@@ -98,7 +101,8 @@
                        mList,
                        mListChange,
                        mFailureDomain,
-                       mPath)
+                       mPath,
+                       mParts)
 };
 
 } // namespace ragwortdeck
--- a/Source/Entry/PlatformCodec.h
+++ b/Source/Entry/PlatformCodec.h
@@ -89,6 +89,24 @@
   std::int64_t mRevision = 0;
 };
 
+/// \brief The store's response to a read of the host list.
+struct HostListPage
+{
+  std::vector<std::string> mHosts;
+  /// Where the next page begins; empty on the last one.
+  std::string mNext;
+};
+
+/// \brief Changes of the target list.
+struct TargetChanges
+{
+  /// The revision up to which the changes are complete.
+  std::int64_t mRevision = 0;
+  /// The targets that changed; empty for one that was removed or that cannot be
+  /// parsed.
+  std::map<std::string, std::optional<Target>> mTargets;
+};
+
 /// \brief The store's response to a read of the target list.
 struct TargetListPage
 {
@@ -138,6 +156,12 @@
   virtual Result<StoreValue> ReadStoreValue(const std::string& aBody) const = 0;
   virtual Result<ServingTable> ReadTable(const std::string& aValue) const = 0;
 
+  /// Asks for the changes of the target list after a revision. The store
+  /// responds as soon as there is one, at the latest after aWait.
+  virtual HttpCall TargetsWatch(std::int64_t aAfter,
+                                Milliseconds aWait) const = 0;
+  virtual Result<TargetChanges> ReadTargetChanges(
+    const std::string& aBody) const = 0;
   virtual HttpCall TargetsRead(const std::string& aAfter) const = 0;
   virtual Result<TargetListPage> ReadTargets(
     const std::string& aBody) const = 0;
@@ -148,9 +172,8 @@
   /// Writes a host's address to the host list.
   virtual HttpCall HostWrite(const std::string& aHost,
                              const std::string& aLease) const = 0;
-  virtual HttpCall HostsRead() const = 0;
-  virtual Result<std::vector<std::string>> ReadHosts(
-    const std::string& aBody) const = 0;
+  virtual HttpCall HostsRead(const std::string& aAfter) const = 0;
+  virtual Result<HostListPage> ReadHosts(const std::string& aBody) const = 0;
 
   virtual HttpCall ReportCall() const = 0;
   virtual Result<EngineReport> ReadReport(const std::string& aBody) const = 0;
--- a/Source/Entry/SiteFeed.cxx
+++ b/Source/Entry/SiteFeed.cxx
@@ -52,11 +52,18 @@
 /// processed, are sent within this time, several in one message. Until then
 /// other hosts send the engine slightly less work than it could take.
 constexpr milliseconds kDeferredFlushDelay{ 60 };
+/// A longer change of the target list, of about 80 bytes for each target, is
+/// sent as a whole list.
+constexpr std::size_t kMaxChangedTargets = 400;
+/// Shortest wait that the store takes.
+constexpr milliseconds kNoWait{ 1 };
 /// How often running streams are checked for stalls.
 constexpr milliseconds kSilenceCheckInterval{ 100 };
 /// A host that learns of a newer table or target list requests it after this
 /// time: a relay may be about to deliver it.
 constexpr milliseconds kContentRequestDelay{ 40 };
+/// Shortest time between two requests for content.
+constexpr milliseconds kContentRequestInterval{ 120 };
 
 std::string
 Compress(const std::string& aBytes)
@@ -185,8 +192,9 @@
   }
   const auto status = reply.value().mStatus;
   if (status != kStatusOk) {
-    co_return Failure(status == kStatusNotFound ? ErrorCode::kNotFound
-                                                : ErrorCode::kUnavailable,
+    // 410: the store has dropped the history that was asked for.
+    const bool isAbsent = status == kStatusNotFound || status == kStatusGone;
+    co_return Failure(isAbsent ? ErrorCode::kNotFound : ErrorCode::kUnavailable,
                       "status " + std::to_string(status));
   }
   co_return std::move(reply.value().mBody);
@@ -223,9 +231,10 @@
     mProofs = std::move(proofs);
   }
   if (isNewer) {
-    mExchange.Broadcast([this](HostMessage& aMessage) { AddTable(aMessage); },
-                        HostExchange::Content::kState,
-                        MessageClass::kLarge);
+    SendTable([this](const auto& aAdd) {
+      mExchange.Broadcast(
+        aAdd, HostExchange::Content::kState, MessageClass::kLarge);
+    });
   }
   co_return true;
 }
@@ -265,15 +274,25 @@
     mListReads.Started(now);
     const auto before = mList;
     if (co_await ReadTargets()) {
-      mListReads.ResultArrived(mContext.mSettings.mPeers.mAddress, now);
-      std::vector<TargetListChange> change;
-      if (mList.mTargets != before.mTargets) {
-        change.push_back(TargetListChange::Between(before, mList));
+      // During its tenure the reader goes on at once, since its reads last for
+      // the period.
+      const auto done = mContext.Now();
+      mListReads.ResultArrived(mContext.mSettings.mPeers.mAddress,
+                               mListReads.InTenure(done) ? now : done);
+      auto change = TargetListChange::Between(before, mList);
+      const bool isLarge = change.Size() > kMaxChangedTargets;
+      if (isLarge) {
+        SendTargetList([this](const auto& aAdd) {
+          mExchange.Broadcast(
+            aAdd, HostExchange::Content::kState, MessageClass::kLarge);
+        });
       }
       mExchange.Broadcast(
         [&](HostMessage& aMessage) {
           aMessage.mListRead = true;
-          aMessage.mListChange = change;
+          if (change.Size() > 0 && !isLarge) {
+            aMessage.mListChange.push_back(std::move(change));
+          }
         },
         HostExchange::Content::kState,
         MessageClass::kImportant);
@@ -286,6 +305,61 @@
 
 Task<bool>
 SiteFeed::ReadTargets()
+{
+  if (!mWholeListDue && mList.mRevision > 0) {
+    const bool mayWait =
+      mListReads.IsReader() && mListReads.InTenure(mContext.Now());
+    const auto watched = co_await WatchTargets(
+      mayWait ? std::chrono::duration_cast<Milliseconds>(kListTiming.mPeriod)
+              : kNoWait);
+    if (watched) {
+      co_return true;
+    }
+    if (watched.error().mCode != ErrorCode::kNotFound &&
+        watched.error().mCode != ErrorCode::kCorrupt) {
+      RecordStoreState(false, watched.error().mMessage);
+      co_return false;
+    }
+  }
+  // A list that was last read long ago cannot be brought up to date by changes.
+  mWholeListDue = !co_await ReadAllTargets();
+  co_return !mWholeListDue;
+}
+
+Task<Result<void>>
+SiteFeed::WatchTargets(Milliseconds aWait)
+{
+  auto body =
+    co_await ReadStore(mContext.mCodec.TargetsWatch(mList.mRevision, aWait));
+  if (!body) {
+    co_return Failure(body.error().mCode, body.error().mMessage);
+  }
+  auto changes = mContext.mCodec.ReadTargetChanges(body.value());
+  if (!changes) {
+    mContext.mLog.Write("changes_unreadable",
+                        { { "why", changes.error().mMessage } });
+    co_return Failure(ErrorCode::kCorrupt, changes.error().mMessage);
+  }
+  RecordStoreState(true, "watched");
+  // Another host's read may have arrived meanwhile.
+  if (changes.value().mRevision < mList.mRevision) {
+    co_return Success();
+  }
+  auto list = mList;
+  list.mRevision = changes.value().mRevision;
+  for (auto& [id, target] : changes.value().mTargets) {
+    if (target) {
+      list.mTargets[id] = std::move(*target);
+    } else {
+      list.mTargets.erase(id);
+    }
+  }
+  ApplyTargetList(list);
+  co_return Success();
+}
+
+Task<bool>
+SiteFeed::ReadAllTargets()
 {
   TargetList list;
   std::string after;
@@ -449,27 +523,45 @@
   mLease = id.value();
   // The hosts are read after the write, so that of two hosts that start
   // together at least the one that writes later sees the other.
-  auto hosts = co_await mContext.mCalls.Call(
-    store, mContext.mCodec.HostsRead(), kStoreTimeout);
-  if (!hosts || hosts.value().mStatus != kStatusOk) {
+  auto hosts = co_await ReadHosts();
+  if (!hosts) {
     mLease.clear();
     co_return false;
   }
-  auto hostNames = mContext.mCodec.ReadHosts(hosts.value().mBody);
-  if (!hostNames) {
-    co_return false;
-  }
-  auto others = hostNames.value();
+  auto others = std::move(*hosts);
   for (const auto& host : others) {
     mExchange.AddHost(host);
   }
   mExchange.Broadcast(
     {}, HostExchange::Content::kState, MessageClass::kImportant);
+  mContext.mLog.Write("registered", { { "hosts", others.size() } });
   RequestContentAtStart(std::move(others));
-  mContext.mLog.Write("registered", { { "hosts", hostNames.value().size() } });
   co_return true;
 }
 
+Task<std::optional<std::vector<std::string>>>
+SiteFeed::ReadHosts()
+{
+  std::vector<std::string> hosts;
+  std::string after;
+  do {
+    auto body = co_await ReadStore(mContext.mCodec.HostsRead(after));
+    if (!body) {
+      co_return std::nullopt;
+    }
+    auto page = mContext.mCodec.ReadHosts(body.value());
+    if (!page) {
+      mContext.mLog.Write("hosts_unreadable",
+                          { { "why", page.error().mMessage } });
+      co_return std::nullopt;
+    }
+    hosts.insert(
+      hosts.end(), page.value().mHosts.begin(), page.value().mHosts.end());
+    after = page.value().mNext;
+  } while (!after.empty());
+  co_return hosts;
+}
+
 void
 SiteFeed::RequestContentAtStart(std::vector<std::string> aHosts)
 {
@@ -600,21 +692,49 @@
 }
 
 void
-SiteFeed::AddTable(HostMessage& aMessage) const
+SiteFeed::SendTable(const SendContent& aSend)
 {
   if (mTableContent.size() <= HostExchange::kMaxContentBytes) {
-    aMessage.mTable = mTableContent;
+    aSend([this](HostMessage& aMessage) { aMessage.mTable = mTableContent; });
+    return;
+  }
+  for (const auto& part : SplitContent(ContentKind::kTable,
+                                       mContext.mTable.Revision(),
+                                       mTableContent,
+                                       HostExchange::kMaxPartBytes)) {
+    aSend([&](HostMessage& aMessage) { aMessage.mParts = { part }; });
   }
 }
 
 void
-SiteFeed::AddTargetList(HostMessage& aMessage)
+SiteFeed::SendTargetList(const SendContent& aSend)
 {
   if (mListContent.empty()) {
     mListContent = PackList(mList);
   }
   if (mListContent.size() <= HostExchange::kMaxContentBytes) {
-    aMessage.mList = mListContent;
+    aSend([this](HostMessage& aMessage) { aMessage.mList = mListContent; });
+    return;
+  }
+  for (const auto& part : SplitContent(ContentKind::kTargetList,
+                                       mList.mRevision,
+                                       mListContent,
+                                       HostExchange::kMaxPartBytes)) {
+    aSend([&](HostMessage& aMessage) { aMessage.mParts = { part }; });
+  }
+}
+
+void
+SiteFeed::SendContentTo(const std::string& aHost, bool aTable, bool aList)
+{
+  const auto send = [&](const std::function<void(HostMessage&)>& aAdd) {
+    mExchange.Send(aHost, aAdd);
+  };
+  if (aTable) {
+    SendTable(send);
+  }
+  if (aList) {
+    SendTargetList(send);
   }
 }
 
@@ -635,18 +755,43 @@
       return;
     }
   }
-  if (aMessage.mList.empty()) {
-    return;
+  if (!aMessage.mList.empty()) {
+    ApplyPackedList(aMessage.mList, aMessage.mListRevision, aMessage.mHost);
   }
+}
+
+void
+SiteFeed::ApplyPackedList(const std::string& aContent,
+                          std::int64_t aRevision,
+                          const std::string& aFrom)
+{
   TargetList list;
   try {
-    const auto bytes = Uncompress(aMessage.mList);
+    const auto bytes = Uncompress(aContent);
     msgpack::unpack(bytes.data(), bytes.size()).get().convert(list);
-    list.mRevision = aMessage.mListRevision;
+    list.mRevision = aRevision;
     ApplyTargetList(list);
   } catch (const std::exception& ec) {
     mContext.mLog.Write("list_unreadable",
-                        { { "from", aMessage.mHost }, { "why", ec.what() } });
+                        { { "from", aFrom }, { "why", ec.what() } });
+  }
+}
+
+void
+SiteFeed::ApplyParts(const HostMessage& aMessage)
+{
+  for (const auto& part : aMessage.mParts) {
+    if (part.mKind == static_cast<int>(ContentKind::kTable)) {
+      if (auto content = mTableParts.Add(aMessage.mHost, part);
+          content && part.mRevision > mContext.mTable.Revision()) {
+        ApplyTable(Uncompress(*content), part.mRevision);
+      }
+    } else if (part.mKind == static_cast<int>(ContentKind::kTargetList)) {
+      if (auto content = mListParts.Add(aMessage.mHost, part);
+          content && part.mRevision > mList.mRevision) {
+        ApplyPackedList(*content, part.mRevision, aMessage.mHost);
+      }
+    }
   }
 }
 
@@ -661,14 +806,8 @@
     mContentWaiters.insert(aMessage.mHost);
     return;
   }
-  mExchange.Send(aMessage.mHost, [&](HostMessage& aAnswer) {
-    if (aMessage.mRequestsTable) {
-      AddTable(aAnswer);
-    }
-    if (aMessage.mRequestsList) {
-      AddTargetList(aAnswer);
-    }
-  });
+  SendContentTo(
+    aMessage.mHost, aMessage.mRequestsTable, aMessage.mRequestsList);
 }
 
 void
@@ -678,17 +817,14 @@
     return;
   }
   for (const auto& host : std::exchange(mContentWaiters, {})) {
-    mExchange.Send(host, [this](HostMessage& aMessage) {
-      AddTable(aMessage);
-      AddTargetList(aMessage);
-    });
+    SendContentTo(host, true, true);
   }
 }
 
 void
 SiteFeed::RequestMissingContent(const HostMessage& aMessage)
 {
-  if (mContentRequestPending ||
+  if (mContentRequestPending || mContext.Now() < mNextContentRequest ||
       (aMessage.mTableRevision <= mContext.mTable.Revision() &&
        aMessage.mListRevision <= mList.mRevision)) {
     return;
@@ -710,6 +846,7 @@
   const bool lacksTable = aTableRevision > mContext.mTable.Revision();
   const bool lacksList = aListRevision > mList.mRevision;
   if (lacksTable || lacksList) {
+    mNextContentRequest = mContext.Now() + kContentRequestInterval;
     mExchange.Send(aHost, [&](HostMessage& aMessage) {
       aMessage.mRequestsTable = lacksTable;
       aMessage.mRequestsList = lacksList;
@@ -741,6 +878,7 @@
       aMessage.mTableRevision > mContext.mTable.Revision()) {
     ApplyTable(Uncompress(aMessage.mTable), aMessage.mTableRevision);
   }
+  ApplyParts(aMessage);
   ApplyTargetListFrom(aMessage);
   if (aMessage.mTableRevision == mContext.mTable.Revision()) {
     if (aMessage.mProvenIncarnation == mExchange.Incarnation()) {
--- a/Source/Entry/SiteFeed.h
+++ b/Source/Entry/SiteFeed.h
@@ -50,8 +50,14 @@
   Task<void> SilenceLoop();
   void AvoidSilentEngine(const std::string& aEngine, const std::string& aFrom);
   Task<bool> ReadTable();
+  /// Reads the target list, or what changed since the one that is known.
   Task<bool> ReadTargets();
+  Task<bool> ReadAllTargets();
+  /// Waits up to aWait for changes. Fails with kNotFound when the store has
+  /// dropped its history.
+  Task<Result<void>> WatchTargets(Milliseconds aWait);
   Task<bool> Register();
+  Task<std::optional<std::vector<std::string>>> ReadHosts();
   void RequestContentAtStart(std::vector<std::string> aHosts);
   /// Returns the body of the store's response; fails with kNotFound when there
   /// is no value.
@@ -65,8 +71,17 @@
   void ApplyTargetList(const TargetList& aList);
   void RecordStoreState(bool aReached, const std::string& aReason);
   std::size_t Rank() const;
-  void AddTable(HostMessage& aMessage) const;
-  void AddTargetList(HostMessage& aMessage);
+  /// Sends the table or the target list with aSend, which is called once for
+  /// each message.
+  using SendContent =
+    std::function<void(const std::function<void(HostMessage&)>&)>;
+  void SendTable(const SendContent& aSend);
+  void SendTargetList(const SendContent& aSend);
+  void SendContentTo(const std::string& aHost, bool aTable, bool aList);
+  void ApplyParts(const HostMessage& aMessage);
+  void ApplyPackedList(const std::string& aContent,
+                       std::int64_t aRevision,
+                       const std::string& aFrom);
   void ApplyTargetListFrom(const HostMessage& aMessage);
   void AnswerRequests(const HostMessage& aMessage);
   /// Sends the contents to the hosts that requested them before this host had
@@ -108,7 +123,12 @@
   asio::steady_timer mFlushTimer;
   std::uint64_t mSentLoadVersion = 0;
   bool mContentRequestPending = false;
+  MonotonicTime mNextContentRequest;
   std::set<std::string> mContentWaiters;
+  ContentAssembler mTableParts;
+  ContentAssembler mListParts;
+  /// Changes cannot be had from the store, so the next read is a whole one.
+  bool mWholeListDue = true;
   SilenceWatch mSilence;
 };
 
--- a/Source/Serving/SharedReads.h
+++ b/Source/Serving/SharedReads.h
@@ -95,6 +95,13 @@
 
   /// Lets no read be due before aTime, unless a result arrives first.
   void DeferUntil(MonotonicTime aTime) { mDeferredUntil = aTime; }
+  /// Whether this host reads for all now. Its next read may then last until
+  /// there is something new.
+  bool IsReader() const { return mReader == mSelf; }
+  bool InTenure(MonotonicTime aNow) const
+  {
+    return !mReader.empty() && aNow - mReaderSince < kReaderTenure;
+  }
   /// When the next read of this host is due, given its rank.
   MonotonicTime DueAt(std::size_t aRank) const;
   /// This host has started a read.
--- a/Source/Serving/TargetListChange.h
+++ b/Source/Serving/TargetListChange.h
@@ -32,6 +32,8 @@
                                   const TargetList& aAfter);
   /// The list after the change; nothing when aList does not match the list
   /// before it.
+  /// Number of targets that it names.
+  std::size_t Size() const { return mUpdated.size() + mRemoved.size(); }
   std::optional<TargetList> ApplyTo(const TargetList& aList) const;
 
   MSGPACK_DEFINE_ARRAY(mFrom, mTo, mRevision, mUpdated, mRemoved)
--- a/Tests/FleetCodec/FleetCodecTest.cxx
+++ b/Tests/FleetCodec/FleetCodecTest.cxx
@@ -34,6 +34,8 @@
 {
   CPPUNIT_TEST_SUITE(FleetCodecTest);
   CPPUNIT_TEST(TestTable);
+  CPPUNIT_TEST(TestHosts);
+  CPPUNIT_TEST(TestHugeNumbers);
   CPPUNIT_TEST(TestTargets);
   CPPUNIT_TEST(TestRequests);
   CPPUNIT_TEST(TestResponses);
@@ -65,6 +67,42 @@
     });
   }
 
+  void TestHosts()
+  {
+    const FleetCodec codec;
+    Section("the host list of a large site comes in pages", [&] {
+      const auto page = codec
+                          .ReadHosts("{\"items\":[{\"key\":\"entry/10.0.0.1\","
+                                     "\"value\":\"" +
+                                     Base64("10.0.0.1") +
+                                     "\"}],\"has_more\":true,"
+                                     "\"current_rev\":7}")
+                          .value();
+      CPPUNIT_ASSERT(page.mHosts == std::vector<std::string>{ "10.0.0.1" });
+      CPPUNIT_ASSERT_EQUAL(std::string("entry/10.0.0.1"), page.mNext);
+      CPPUNIT_ASSERT(
+        codec.HostsRead(page.mNext).mPath.ends_with("&after=entry/10.0.0.1"));
+    });
+  }
+
+  void TestHugeNumbers()
+  {
+    // Without a limit, the conversion of such a number is undefined, and sums
+    // with others overflow.
+    const FleetCodec codec;
+    for (const auto* text : { "1e300", "-1e300", "inf", "nan" }) {
+      HttpFields fields;
+      fields.set("Deadline-Ms", text);
+      fields.set("Length-Hint", text);
+      fields.set("Token-Count", "9223372036854775807,9223372036854775807");
+      const auto headers = codec.ReadCallerHeaders(fields);
+      CPPUNIT_ASSERT(std::abs(headers.mTimeLeft->count()) <= 1'000'000'000'000);
+      CPPUNIT_ASSERT(std::abs(headers.mExpectedOutputTokens) <=
+                     1'000'000'000'000);
+      CPPUNIT_ASSERT(headers.mPromptTokens + headers.mMaxOutputTokens > 0);
+    }
+  }
+
   void TestTargets()
   {
     const FleetCodec codec;
@@ -99,6 +137,27 @@
       CPPUNIT_ASSERT_EQUAL(std::size_t(1), page.mList.mTargets.size());
       CPPUNIT_ASSERT_EQUAL(std::size_t(4), page.mUnreadable.size());
     });
+    Section("changes name the newest state of each target", [&] {
+      const auto changes =
+        codec
+          .ReadTargetChanges(
+            "{\"events\":[" + item("i-1", "not json") + "," +
+            item("i-1", good) + "," + item("i-2", good) +
+            ",{\"key\":\"servers/i-2\",\"revision\":9,\"tombstone\":true}," +
+            item("i-3", "{}") + "],\"current_rev\":541}")
+          .value();
+      CPPUNIT_ASSERT_EQUAL(std::int64_t(541), changes.mRevision);
+      CPPUNIT_ASSERT_EQUAL(std::size_t(3), changes.mTargets.size());
+      CPPUNIT_ASSERT(changes.mTargets.at("i-1").has_value());
+      CPPUNIT_ASSERT(!changes.mTargets.at("i-2").has_value());
+      CPPUNIT_ASSERT(!changes.mTargets.at("i-3").has_value());
+    });
+    Section("malformed changes are an error", [&] {
+      CPPUNIT_ASSERT(!codec.ReadTargetChanges("{\"events\":[{}]}"));
+      CPPUNIT_ASSERT(!codec.ReadTargetChanges("{\"current_rev\":3}"));
+      CPPUNIT_ASSERT(!codec.ReadTargetChanges(
+        "{\"current_rev\":3,\"events\":[{\"key\":4}]}"));
+    });
     Section("the next page begins after the last key", [&] {
       CPPUNIT_ASSERT_EQUAL(std::string("servers/i-5"), page.mNext);
       CPPUNIT_ASSERT_EQUAL(std::int64_t(530), page.mList.mRevision);
