Entry: Send contents to starting hosts on request only

Change: large contents go only to hosts that count as live; a host without contents requests them at once when it hears of a result, and asks one host at its start.

--- a/Source/Entry/HostExchange.cxx
+++ b/Source/Entry/HostExchange.cxx
@@ -168,7 +168,7 @@
 {
   const auto now = mClock.Now();
   mLastBroadcast = now;
-  const bool toSilent = aClass != MessageClass::kRoutine ||
+  const bool toSilent = aClass == MessageClass::kImportant ||
                         now - mSilentHostsSentAt >= kSilentHostInterval;
   if (toSilent) {
     mSilentHostsSentAt = now;
--- a/Source/Entry/HostExchange.h
+++ b/Source/Entry/HostExchange.h
@@ -75,7 +75,7 @@
             Content aContent = Content::kAll);
   /// Sends one message to all known hosts, through relays to those in other
   /// failure domains. aContent is not kAll. Hosts that do not count as live, as
-  /// after a start, get routine messages once a second and others directly.
+  /// after a start, get important messages directly and others once a second.
   void Broadcast(const std::function<void(HostMessage&)>& aAdd = {},
                  Content aContent = Content::kState,
                  MessageClass aClass = MessageClass::kRoutine);
--- a/Source/Entry/SiteFeed.cxx
+++ b/Source/Entry/SiteFeed.cxx
@@ -28,8 +28,8 @@
 /// A starting host first requests the table and the target list from this many
 /// other hosts, and reads the store after a delay if none of them responds.
 /// Otherwise all hosts of a large site that start together would read the store
-/// at the same moment.
-constexpr std::size_t kHostsQueriedAtStart = 3;
+/// at the same moment. Each that responds sends the whole contents.
+constexpr std::size_t kHostsQueriedAtStart = 1;
 /// Longest time between two broadcasts, which keep this host live for others.
 constexpr milliseconds kHeartbeat{ 1000 };
 /// Increases of this host's load within this time are sent in one message.
@@ -60,7 +60,8 @@
 /// How often running streams are checked for stalls.
 constexpr milliseconds kSilenceCheckInterval{ 100 };
 /// A host that learns of a newer table or target list requests it after this
-/// time: a relay may be about to deliver it.
+/// time: a relay may be about to deliver it. A host that has none at all
+/// requests it at once.
 constexpr milliseconds kContentRequestDelay{ 40 };
 /// Shortest time between two requests for content.
 constexpr milliseconds kContentRequestInterval{ 120 };
@@ -830,18 +831,23 @@
     return;
   }
   mContentRequestPending = true;
-  mContext.Spawn("content_request",
-                 RequestAfterDelay(aMessage.mHost,
-                                   aMessage.mTableRevision,
-                                   aMessage.mListRevision));
+  const bool hasContent =
+    mContext.mTable.Table() && mContext.mTargets.IsKnown();
+  mContext.Spawn(
+    "content_request",
+    RequestAfterDelay(hasContent ? kContentRequestDelay : milliseconds(0),
+                      aMessage.mHost,
+                      aMessage.mTableRevision,
+                      aMessage.mListRevision));
 }
 
 Task<void>
-SiteFeed::RequestAfterDelay(std::string aHost,
+SiteFeed::RequestAfterDelay(milliseconds aDelay,
+                            std::string aHost,
                             std::int64_t aTableRevision,
                             std::int64_t aListRevision)
 {
-  co_await SleepFor(mContext.mIo, kContentRequestDelay);
+  co_await SleepFor(mContext.mIo, aDelay);
   mContentRequestPending = false;
   const bool lacksTable = aTableRevision > mContext.mTable.Revision();
   const bool lacksList = aListRevision > mList.mRevision;
--- a/Source/Entry/SiteFeed.h
+++ b/Source/Entry/SiteFeed.h
@@ -90,7 +90,8 @@
   /// Requests the sender's table and target list if they are still newer than
   /// this host's after a delay.
   void RequestMissingContent(const HostMessage& aMessage);
-  Task<void> RequestAfterDelay(std::string aHost,
+  Task<void> RequestAfterDelay(std::chrono::milliseconds aDelay,
+                               std::string aHost,
                                std::int64_t aTableRevision,
                                std::int64_t aListRevision);
 
