--- a/Source/Entry/SiteFeed.cxx
+++ b/Source/Entry/SiteFeed.cxx
@@ -280,8 +280,12 @@
       const auto done = mContext.Now();
       mListReads.ResultArrived(mContext.mSettings.mPeers.mAddress,
                                mListReads.InTenure(done) ? now : done);
-      auto change = TargetListChange::Between(before, mList);
-      const bool isLarge = change.Size() > kMaxChangedTargets;
+      std::vector<TargetListChange> change;
+      if (mList.mTargets != before.mTargets) {
+        change.push_back(TargetListChange::Between(before, mList));
+      }
+      const bool isLarge =
+        !change.empty() && change.front().Size() > kMaxChangedTargets;
       if (isLarge) {
         SendTargetList([this](const auto& aAdd) {
           mExchange.Broadcast(
@@ -291,8 +295,8 @@
       mExchange.Broadcast(
         [&](HostMessage& aMessage) {
           aMessage.mListRead = true;
-          if (change.Size() > 0 && !isLarge) {
-            aMessage.mListChange.push_back(std::move(change));
+          if (!isLarge) {
+            aMessage.mListChange = change;
           }
         },
         HostExchange::Content::kState,
--- a/Source/Entry/StreamRun.cxx
+++ b/Source/Entry/StreamRun.cxx
@@ -310,6 +310,7 @@
 {
   mProgressDue = aDue;
   mLongestGap = Duration(0);
+  mHasEventOfRun = false;
   if (mRequest->mRoute->IsIdempotent()) {
     CheckProgress(aConnection);
   }
@@ -350,7 +351,8 @@
 void
 StreamRun::RecordProgress(MonotonicTime aNow)
 {
-  if (mEvents > 0) {
+  // The gap before the first event of a run says nothing about its engine.
+  if (std::exchange(mHasEventOfRun, true)) {
     mLongestGap = std::max(mLongestGap, aNow - mLastEventAt);
   }
   mProgressDue = aNow + Duration(Patience());
--- a/Source/Entry/StreamRun.h
+++ b/Source/Entry/StreamRun.h
@@ -151,6 +151,7 @@
   MonotonicTime mProgressDue;
   /// Longest gap between two events of the current run.
   Duration mLongestGap{ 0 };
+  bool mHasEventOfRun = false;
   /// The retry allowance was charged when the engine was given up.
   bool mRetryCharged = false;
   /// Cancelled to wake the coroutine that waits.
