Entry: Let requests wait for the contents at a start

A caller that returns after Retry-After meets hosts in the same state, and is lost.

Ruled out: refusing with a longer Retry-After, which most of the callers' 1,000 ms do not allow.

Change: in the first second of a host a request waits for the table and the targets, up to a third of the caller's time. Later, and for a stale table, it is refused at once as before. RelayTest::TestRequestAtStart failed before the change.

--- a/Source/Entry/CallerSession.cxx
+++ b/Source/Entry/CallerSession.cxx
@@ -189,8 +189,6 @@
 CallerSession::Admit(CallerRequest& aRequest)
 {
   const auto now = mContext.Now();
-  aRequest.mCallerHeaders =
-    mContext.mCodec.ReadCallerHeaders(aRequest.mRequest);
   const auto host = aRequest.mRequest[http::field::host];
   const auto path = aRequest.mRequest.target();
   const auto admission = mContext.mTable.Admit({ host.data(), host.size() },
@@ -279,10 +277,28 @@
     });
 }
 
+Task<void>
+CallerSession::WaitForContents(const CallerRequest& aRequest)
+{
+  constexpr Duration kPoll = std::chrono::milliseconds(5);
+  constexpr Milliseconds kDefaultTimeLeft{ 1000 };
+  const auto until =
+    aRequest.mArrived +
+    LongestWaitAtStart(
+      aRequest.mArrived - mContext.mStartedAt,
+      aRequest.mCallerHeaders.mTimeLeft.value_or(kDefaultTimeLeft));
+  while (!mContext.HasContents() && mContext.Now() < until) {
+    co_await SleepFor(mContext.mIo, kPoll);
+  }
+}
+
 Task<bool>
 CallerSession::Serve(std::shared_ptr<CallerRequest> aRequest)
 {
   mContext.mMetrics.Count("entry_requests_total");
+  aRequest->mCallerHeaders =
+    mContext.mCodec.ReadCallerHeaders(aRequest->mRequest);
+  co_await WaitForContents(*aRequest);
   if (auto denied = Admit(*aRequest)) {
     co_return co_await Answer(*aRequest, std::move(*denied));
   }
--- a/Source/Entry/CallerSession.h
+++ b/Source/Entry/CallerSession.h
@@ -16,6 +16,8 @@
 
 private:
   Task<bool> ReadRequest(CallerRequest& aRequest);
+  /// Waits for the table and the targets when this host has just started.
+  Task<void> WaitForContents(const CallerRequest& aRequest);
   Task<bool> Serve(std::shared_ptr<CallerRequest> aRequest);
   /// Returns the answer of a denied request; empty when it is admitted.
   std::optional<FinalAnswer> Admit(CallerRequest& aRequest);
--- a/Source/Entry/EntryContext.cxx
+++ b/Source/Entry/EntryContext.cxx
@@ -40,6 +40,7 @@
   , mPool(aContext, aClock)
   , mCalls(mPool)
   , mTable(TableBounds(mSettings))
+  , mStartedAt(aClock.Now())
 {
 }
 
@@ -52,6 +53,12 @@
              { { "where", aWhere }, { "why", aError.what() } });
 }
 
+bool
+EntryContext::HasContents() const
+{
+  return mTargets.IsKnown() && mTable.AcceptsKeyedRequests(Now());
+}
+
 void
 EntryContext::Spawn(const char* aName, Task<void> aTask)
 {
--- a/Source/Entry/EntryContext.h
+++ b/Source/Entry/EntryContext.h
@@ -83,6 +83,8 @@
 
   MonotonicTime Now() const { return mClock.Now(); }
 
+  /// Whether a table and the targets are known, and the table was current.
+  bool HasContents() const;
   /// Runs aTask. An exception ends only this task, with a log line.
   void Spawn(const char* aName, Task<void> aTask);
   /// Runs aLoop for the life of the process; an exception restarts it after a
@@ -137,6 +139,7 @@
   std::size_t mBufferedBytes = 0;
   /// Requests being served.
   std::set<CallerRequest*> mActive;
+  MonotonicTime mStartedAt;
   bool mStopping = false;
   MonotonicTime mStoppedAt;
 };
--- a/Source/Entry/EntryProcess.cxx
+++ b/Source/Entry/EntryProcess.cxx
@@ -167,8 +167,7 @@
 bool
 EntryProcess::IsReady() const
 {
-  return !mContext.mStopping && mContext.mTargets.IsKnown() &&
-         mContext.mTable.AcceptsKeyedRequests(mClock.Now());
+  return !mContext.mStopping && mContext.HasContents();
 }
 
 Task<void>
--- a/Source/Serving/ShutdownRule.cxx
+++ b/Source/Serving/ShutdownRule.cxx
@@ -1,5 +1,7 @@
 #include "Serving/ShutdownRule.h"
 
+#include <algorithm>
+
 namespace ragwortdeck {
 
 bool
@@ -17,4 +19,17 @@
   return aSinceStop + kPlainRequestDuration < aGrace;
 }
 
+Duration
+LongestWaitAtStart(Duration aSinceStart, Duration aTimeLeft)
+{
+  // A host that has learned nothing by then is cut off; its callers are served
+  // better by others.
+  constexpr Duration kStartTime = std::chrono::milliseconds(1000);
+  // The rest is left for the answer, or for a retry at another host.
+  constexpr int kTimeLeftDivisor = 3;
+  return std::max(
+    Duration(0),
+    std::min(kStartTime - aSinceStart, aTimeLeft / kTimeLeftDivisor));
+}
+
 } // namespace ragwortdeck
--- a/Source/Serving/ShutdownRule.h
+++ b/Source/Serving/ShutdownRule.h
@@ -15,4 +15,14 @@
 bool
 AcceptsDuringShutdown(RouteKind aKind, Duration aSinceStop, Duration aGrace);
 
+/// Returns how long a request may wait for a host that has just started to
+/// learn the table and the targets.
+///
+/// Covers the restart of a whole fleet: the contents arrive within some hundred
+/// milliseconds, and a caller that is refused meets hosts in the same state
+/// when it returns. aTimeLeft is the time that the caller still waits for an
+/// answer.
+Duration
+LongestWaitAtStart(Duration aSinceStart, Duration aTimeLeft);
+
 } // namespace ragwortdeck
--- a/Tests/Entry/RelayTest.cxx
+++ b/Tests/Entry/RelayTest.cxx
@@ -48,6 +48,7 @@
   CPPUNIT_TEST(TestNotRun);
   CPPUNIT_TEST(TestSafeRequestIsRetried);
   CPPUNIT_TEST(TestAnswerAtTheDeadline);
+  CPPUNIT_TEST(TestRequestAtStart);
   CPPUNIT_TEST(TestDeniedRequest);
   CPPUNIT_TEST(TestAmbiguousRequest);
   CPPUNIT_TEST(TestStream);
@@ -234,6 +235,24 @@
                    answer->mResponse.result_int() == 200U);
   }
 
+  void TestRequestAtStart()
+  {
+    // All hosts restart at once: a caller that is refused meets hosts in the
+    // same state when it returns.
+    RelayWorld world;
+    world.AddTarget("t1").AddScript(Send(RelayWorld::Answer("id1", "done")));
+    const auto caller = world.Call(RelayWorld::Request("unsafe", "id1"));
+    world.RunUntil([&] { return !world.Context().mActive.empty(); });
+    world.Start();
+    CPPUNIT_ASSERT(world.Reply(*caller, "done").starts_with("HTTP/1.1 200"));
+    Section("a host that learns nothing for long refuses", [&] {
+      RelayWorld cutOff;
+      const auto refused = cutOff.Call(RelayWorld::Request("unsafe", "id1"));
+      CPPUNIT_ASSERT(
+        cutOff.Reply(*refused, "\r\n\r\n").starts_with("HTTP/1.1 503"));
+    });
+  }
+
   void TestDeniedRequest()
   {
     RelayWorld world;
--- a/Tests/Serving/PlacementTest.cxx
+++ b/Tests/Serving/PlacementTest.cxx
@@ -76,6 +76,7 @@
   CPPUNIT_TEST(TestFirstReads);
   CPPUNIT_TEST(TestReadersOfLargeFleet);
   CPPUNIT_TEST(TestShutdown);
+  CPPUNIT_TEST(TestWaitAtStart);
   CPPUNIT_TEST(TestEvents);
   CPPUNIT_TEST_SUITE_END();
 
@@ -588,6 +589,22 @@
     });
   }
 
+  void TestWaitAtStart()
+  {
+    Section("a third of the caller's time, within the first second", [&] {
+      CPPUNIT_ASSERT(LongestWaitAtStart(milliseconds(50), milliseconds(900)) ==
+                     milliseconds(300));
+      CPPUNIT_ASSERT(
+        LongestWaitAtStart(milliseconds(900), milliseconds(39000)) ==
+        milliseconds(100));
+    });
+    Section("a host that runs for longer refuses at once", [&] {
+      CPPUNIT_ASSERT(
+        LongestWaitAtStart(milliseconds(1500), milliseconds(39000)) ==
+        milliseconds(0));
+    });
+  }
+
   void TestEvents()
   {
     EventSplitter events;
