Entry: Fix a use after free and an allocation that the sanitizer found

The run clears its hook now, and the session clears it before it ends the request. - TestForeignDatagrams: a datagram of five bytes that claims four billion elements made msgpack ask for that much memory. Messages and contents of other hosts are unpacked with limits that follow from their size.

Design of the messages to all hosts: docs/platform.md.

--- a/Source/Entry/CallerSession.cxx
+++ b/Source/Entry/CallerSession.cxx
@@ -99,8 +99,8 @@
     } catch (const std::exception& ec) {
       // How far the request got is not known, so the connection is closed,
       // which promises nothing.
-      request->Finish(CallerRequest::End::kCallerGone);
       request->mOnEnd = nullptr;
+      request->Finish(CallerRequest::End::kCallerGone);
       mContext.LogUnexpectedError(request->mCallerHeaders.mId.c_str(), ec);
     }
     if (!keepOpen) {
--- a/Source/Entry/HostExchange.cxx
+++ b/Source/Entry/HostExchange.cxx
@@ -78,7 +78,7 @@
 {
   HostMessage message;
   try {
-    const auto handle = msgpack::unpack(mBuffer.data(), aSize);
+    const auto handle = UnpackBounded(mBuffer.data(), aSize);
     handle.get().convert(message);
   } catch (const std::exception&) {
     // Not a message of this system, or one of another version: anyone can send
--- a/Source/Entry/HostMessage.h
+++ b/Source/Entry/HostMessage.h
@@ -7,6 +7,20 @@
 
 namespace ragwortdeck {
 
+/// Unpacks a message or content of another host; throws if it is malformed. A
+/// few bytes may claim billions of elements, for which no memory is taken.
+inline msgpack::object_handle
+UnpackBounded(const char* aData, std::size_t aSize)
+{
+  constexpr std::size_t kMaxDepth = 16;
+  return msgpack::unpack(
+    aData,
+    aSize,
+    nullptr,
+    nullptr,
+    msgpack::unpack_limit(aSize, aSize, aSize, aSize, 0, kMaxDepth));
+}
+
 /// \brief How a message reaches its receiver.
 enum class MessagePath
 {
--- a/Source/Entry/SiteFeed.cxx
+++ b/Source/Entry/SiteFeed.cxx
@@ -773,7 +773,7 @@
   TargetList list;
   try {
     const auto bytes = Uncompress(aContent);
-    msgpack::unpack(bytes.data(), bytes.size()).get().convert(list);
+    UnpackBounded(bytes.data(), bytes.size()).get().convert(list);
     list.mRevision = aRevision;
     ApplyTargetList(list);
   } catch (const std::exception& ec) {
--- a/Source/Entry/StreamRun.cxx
+++ b/Source/Entry/StreamRun.cxx
@@ -88,6 +88,8 @@
 
 StreamRun::~StreamRun()
 {
+  // The hook refers to this run, which an exception may have ended.
+  mRequest->mOnEnd = nullptr;
   mContext.mStreams.erase(mId);
   mContext.mLoad.End(mId);
   mContext.mLoad.End(mMoveReservationId);
