Entry, platform: Write shared code once

No behaviour changes. The table and the target list are sent by one function, in one message or in parts. The tenure of a reader is computed in one place. A starting host asks one other host for contents, so the loop over several is gone. The test files of the entry process share Contains() and kEndOfStream.

--- a/Source/Entry/SiteFeed.cxx
+++ b/Source/Entry/SiteFeed.cxx
@@ -25,11 +25,6 @@
                                        milliseconds(800) };
 /// The platform's store responds within 4 ms, or a few hundred ms when slow.
 constexpr milliseconds kStoreTimeout{ 1000 };
-/// A starting host first requests the table and the target list from this many
-/// other hosts, and reads the store after a delay if none of them responds.
-/// Otherwise all hosts of a large site that start together would read the store
-/// at the same moment. Each that responds sends the whole contents.
-constexpr std::size_t kHostsQueriedAtStart = 1;
 /// Longest time between two broadcasts, which keep this host live for others.
 constexpr milliseconds kHeartbeat{ 1000 };
 /// Increases of this host's load within this time are sent in one message.
@@ -571,15 +566,14 @@
 SiteFeed::RequestContentAtStart(std::vector<std::string> aHosts)
 {
   std::erase(aHosts, mContext.mSettings.mPeers.mAddress);
-  for (std::size_t n = 0; n < kHostsQueriedAtStart && !aHosts.empty(); ++n) {
-    const auto it = aHosts.begin() + static_cast<std::ptrdiff_t>(
-                                       mContext.mRandom.Below(aHosts.size()));
-    mExchange.Send(*it, [&](HostMessage& aMessage) {
-      aMessage.mRequestsTable = !mContext.mTable.Table();
-      aMessage.mRequestsList = !mContext.mTargets.IsKnown();
-    });
-    aHosts.erase(it);
+  if (aHosts.empty()) {
+    return;
   }
+  const auto& host = aHosts[mContext.mRandom.Below(aHosts.size())];
+  mExchange.Send(host, [&](HostMessage& aMessage) {
+    aMessage.mRequestsTable = !mContext.mTable.Table();
+    aMessage.mRequestsList = !mContext.mTargets.IsKnown();
+  });
 }
 
 Task<void>
@@ -697,36 +691,43 @@
 }
 
 void
-SiteFeed::SendTable(const SendContent& aSend)
-{
-  if (mTableContent.size() <= HostExchange::kMaxContentBytes) {
-    aSend([this](HostMessage& aMessage) { aMessage.mTable = mTableContent; });
+SiteFeed::SendContent(ContentKind aKind,
+                      std::int64_t aRevision,
+                      const std::string& aContent,
+                      std::string HostMessage::*aWhole,
+                      const SendMessage& aSend)
+{
+  if (aContent.size() <= HostExchange::kMaxContentBytes) {
+    aSend([&](HostMessage& aMessage) { aMessage.*aWhole = aContent; });
     return;
   }
-  for (const auto& part : SplitContent(ContentKind::kTable,
-                                       mContext.mTable.Revision(),
-                                       mTableContent,
-                                       HostExchange::kMaxPartBytes)) {
+  for (const auto& part :
+       SplitContent(aKind, aRevision, aContent, HostExchange::kMaxPartBytes)) {
     aSend([&](HostMessage& aMessage) { aMessage.mParts = { part }; });
   }
 }
 
 void
-SiteFeed::SendTargetList(const SendContent& aSend)
+SiteFeed::SendTable(const SendMessage& aSend)
+{
+  SendContent(ContentKind::kTable,
+              mContext.mTable.Revision(),
+              mTableContent,
+              &HostMessage::mTable,
+              aSend);
+}
+
+void
+SiteFeed::SendTargetList(const SendMessage& aSend)
 {
   if (mListContent.empty()) {
     mListContent = PackList(mList);
   }
-  if (mListContent.size() <= HostExchange::kMaxContentBytes) {
-    aSend([this](HostMessage& aMessage) { aMessage.mList = mListContent; });
-    return;
-  }
-  for (const auto& part : SplitContent(ContentKind::kTargetList,
-                                       mList.mRevision,
-                                       mListContent,
-                                       HostExchange::kMaxPartBytes)) {
-    aSend([&](HostMessage& aMessage) { aMessage.mParts = { part }; });
-  }
+  SendContent(ContentKind::kTargetList,
+              mList.mRevision,
+              mListContent,
+              &HostMessage::mList,
+              aSend);
 }
 
 void
--- a/Source/Entry/SiteFeed.h
+++ b/Source/Entry/SiteFeed.h
@@ -58,6 +58,9 @@
   Task<Result<void>> WatchTargets(Milliseconds aWait);
   Task<bool> Register();
   Task<std::optional<std::vector<std::string>>> ReadHosts();
+  /// Requests the table and the target list from another host, so that not all
+  /// hosts of a fleet that starts read the store. The host reads the store
+  /// after a delay if none arrive.
   void RequestContentAtStart(std::vector<std::string> aHosts);
   /// Returns the body of the store's response; fails with kNotFound when there
   /// is no value.
@@ -71,12 +74,19 @@
   void ApplyTargetList(const TargetList& aList);
   void RecordStoreState(bool aReached, const std::string& aReason);
   std::size_t Rank() const;
+  using SendMessage =
+    std::function<void(const std::function<void(HostMessage&)>&)>;
   /// Sends the table or the target list with aSend, which is called once for
   /// each message.
-  using SendContent =
-    std::function<void(const std::function<void(HostMessage&)>&)>;
-  void SendTable(const SendContent& aSend);
-  void SendTargetList(const SendContent& aSend);
+  void SendTable(const SendMessage& aSend);
+  void SendTargetList(const SendMessage& aSend);
+  /// Sends aContent as the member aWhole of one message, or in parts if it is
+  /// too large.
+  static void SendContent(ContentKind aKind,
+                          std::int64_t aRevision,
+                          const std::string& aContent,
+                          std::string HostMessage::*aWhole,
+                          const SendMessage& aSend);
   void SendContentTo(const std::string& aHost, bool aTable, bool aList);
   void ApplyParts(const HostMessage& aMessage);
   void ApplyPackedList(const std::string& aContent,
--- a/Source/Entry/TargetExchange.cxx
+++ b/Source/Entry/TargetExchange.cxx
@@ -14,10 +14,6 @@
 /// A longer late answer fails the connection.
 constexpr std::size_t kMaxDiscardedBytes = std::size_t(256) << 10U;
 
-} // namespace
-
-namespace {
-
 /// Reads the rest of the body of aParser; aTake gets each part and returns
 /// whether to go on.
 Task<error_code>
--- a/Source/Serving/SharedReads.cxx
+++ b/Source/Serving/SharedReads.cxx
@@ -81,10 +81,9 @@
 MonotonicTime
 SharedReads::DueAt(std::size_t aRank) const
 {
-  const bool inTenure =
-    !mReader.empty() && mLastReadAt - mReaderSince < kReaderTenure;
   // The reader ranks before all others during its tenure.
-  const auto rank = inTenure ? (mReader == mSelf ? 0 : aRank + 1) : aRank;
+  const auto rank =
+    InTenure(mLastReadAt) ? (IsReader() ? 0 : aRank + 1) : aRank;
   const auto tail =
     rank > kLeadingRanks ? std::min(rank - kLeadingRanks, kMaxTailRanks) : 0;
   return std::max(mDeferredUntil,
--- a/Tests/Entry/RelayTest.cxx
+++ b/Tests/Entry/RelayTest.cxx
@@ -8,14 +8,6 @@
 
 namespace {
 
-constexpr const char* kEndOfStream = "\r\n0\r\n\r\n";
-
-bool
-Contains(const std::string& aText, const std::string& aPart)
-{
-  return aText.find(aPart) != std::string::npos;
-}
-
 std::size_t
 Count(const std::string& aText, const std::string& aPart)
 {
--- a/Tests/Entry/RelayWorld.cxx
+++ b/Tests/Entry/RelayWorld.cxx
@@ -45,6 +45,12 @@
   asio::write(aSocket, asio::buffer(aBytes), ec);
 }
 
+bool
+Contains(const std::string& aText, const std::string& aPart)
+{
+  return aText.find(aPart) != std::string::npos;
+}
+
 ScriptedTarget::ScriptedTarget(asio::io_context& aContext, std::string aId)
   : mContext(aContext)
   , mId(std::move(aId))
--- a/Tests/Entry/RelayWorld.h
+++ b/Tests/Entry/RelayWorld.h
@@ -89,4 +89,10 @@
 void
 WriteAll(tcp::socket& aSocket, const std::string& aBytes);
 
+bool
+Contains(const std::string& aText, const std::string& aPart);
+
+/// The last chunk of a stream that is complete.
+constexpr const char* kEndOfStream = "\r\n0\r\n\r\n";
+
 } // namespace ragwortdeck
