Entry: Let a new reader ask for changes only

mWholeListDue was set at the start of each host, so that its first turn as the reader read the whole target list although it had one from the others; at 3,000 servers that is 60 pages. A known list already says whether changes can be asked for, and a store that has dropped the history leads to a whole read in the same turn.

Behaviour differs in that one read, and in one more call after a whole read that failed.

--- a/Source/Entry/SiteFeed.cxx
+++ b/Source/Entry/SiteFeed.cxx
@@ -306,7 +306,7 @@
 Task<bool>
 SiteFeed::ReadTargets()
 {
-  if (!mWholeListDue && mList.mRevision > 0) {
+  if (mList.mRevision > 0) {
     const bool mayWait =
       mListReads.IsReader() && mListReads.InTenure(mContext.Now());
     const auto watched = co_await WatchTargets(
@@ -322,8 +322,7 @@
     }
   }
   // A list that was last read long ago cannot be brought up to date by changes.
-  mWholeListDue = !co_await ReadAllTargets();
-  co_return !mWholeListDue;
+  co_return co_await ReadAllTargets();
 }
 
 Task<Result<void>>
--- a/Source/Entry/SiteFeed.h
+++ b/Source/Entry/SiteFeed.h
@@ -138,8 +138,6 @@
   std::set<std::string> mContentWaiters;
   ContentAssembler mTableParts;
   ContentAssembler mListParts;
-  /// Changes cannot be had from the store, so the next read is a whole one.
-  bool mWholeListDue = true;
   SilenceWatch mSilence;
 };
 
