Entry: Run the receive loop like the other loops of the process

It was the one loop that was still started apart from EntryContext::SpawnLoop, so an exception while a message was unpacked or passed on would have ended it for good, and the host would have heard of no other. SiteFeed starts it with the others; SetHooks only sets the hooks. No change while nothing throws.

--- a/Source/Entry/HostExchange.cxx
+++ b/Source/Entry/HostExchange.cxx
@@ -50,11 +50,10 @@
 }
 
 void
-HostExchange::Start(FillMessage aFillMessage, Receive aReceive)
+HostExchange::SetHooks(FillMessage aFillMessage, Receive aReceive)
 {
   mFillMessage = std::move(aFillMessage);
   mReceive = std::move(aReceive);
-  asio::co_spawn(mSocket.get_executor(), ReceiveLoop(), asio::detached);
 }
 
 Task<void>
--- a/Source/Entry/HostExchange.h
+++ b/Source/Entry/HostExchange.h
@@ -68,7 +68,10 @@
 
   /// Opens the socket; returns the error, or nothing on success.
   std::optional<std::string> Open();
-  void Start(FillMessage aFillMessage, Receive aReceive);
+  /// Called before ReceiveLoop() and before anything is sent.
+  void SetHooks(FillMessage aFillMessage, Receive aReceive);
+  /// Receives messages until the socket closes.
+  Task<void> ReceiveLoop();
   /// Sends to one host; aAdd extends what the FillMessage callback filled in.
   void Send(const std::string& aHost,
             const std::function<void(HostMessage&)>& aAdd = {},
@@ -102,7 +105,6 @@
   std::uint64_t Relayed() const { return mRelayed; }
 
 private:
-  Task<void> ReceiveLoop();
   void Handle(std::size_t aSize);
   HostMessage MakeMessage(const std::string& aHost,
                           Content aContent,
--- a/Source/Entry/SiteFeed.cxx
+++ b/Source/Entry/SiteFeed.cxx
@@ -109,7 +109,7 @@
 void
 SiteFeed::Start()
 {
-  mExchange.Start(
+  mExchange.SetHooks(
     [this](const std::string& aHost,
            HostExchange::Content aContent,
            HostMessage& aMessage) { FillMessage(aHost, aContent, aMessage); },
@@ -124,6 +124,8 @@
     mExchange.AddHost(seed.mAddress);
   }
   mExchange.Broadcast();
+  mContext.SpawnLoop("receive_loop",
+                     [this] { return mExchange.ReceiveLoop(); });
   mContext.SpawnLoop("table_loop", [this] { return TableLoop(); });
   mContext.SpawnLoop("target_loop", [this] { return TargetLoop(); });
   mContext.SpawnLoop("engine_loop", [this] { return EngineLoop(); });
--- a/Tests/Entry/HostExchangeTest.cxx
+++ b/Tests/Entry/HostExchangeTest.cxx
@@ -45,11 +45,12 @@
                                        i + 1);
       const auto error = host->mExchange->Open();
       CPPUNIT_ASSERT_MESSAGE(error.value_or(""), !error);
-      host->mExchange->Start(
+      host->mExchange->SetHooks(
         [](const std::string&, HostExchange::Content, HostMessage&) {},
         [self = host.get()](const HostMessage& aMessage) {
           self->mReceived.push_back(aMessage);
         });
+      asio::co_spawn(mIo, host->mExchange->ReceiveLoop(), asio::detached);
       mHosts.push_back(std::move(host));
     }
   }
