Entry, Serving: List two hosts of each failure domain only

Ruled out: seeds of the settings: the platform gives none to a role that serves callers only. Registering later at random: delays the second start, when callers wait.

Change: HostDiscovery (out of SiteFeed) reads the list once, with a read that may be stale and costs a tenth. Whoever it finds introduces it to all others. Only two hosts of each domain, those with the fastest links, keep entries. At the first start the list is empty and the hosts enter themselves after a random time, most of them late, and find the first ones before that. Store calls go through StoreClient.

--- a/Source/Entry/HostExchange.cxx
+++ b/Source/Entry/HostExchange.cxx
@@ -216,15 +216,24 @@
 }
 
 void
+HostExchange::SendToAll(const std::vector<std::string>& aHosts)
+{
+  SendTo(aHosts, MakeMessage({}, Content::kState, {}));
+}
+
+bool
 HostExchange::AddHost(const std::string& aHost)
 {
-  if (aHost.empty() || aHost == mLocal.mAddress || mPeers.contains(aHost)) {
-    return;
+  error_code ec;
+  asio::ip::make_address(aHost, ec);
+  if (ec || aHost == mLocal.mAddress || mPeers.contains(aHost)) {
+    return false;
   }
   // The host counts as live only after its first message.
   Peer peer;
   peer.mReceivedAt = mClock.Now() - kLivenessTimeout;
   mPeers.emplace(aHost, peer);
+  return true;
 }
 
 std::vector<FleetHost>
--- a/Source/Entry/HostExchange.h
+++ b/Source/Entry/HostExchange.h
@@ -86,8 +86,11 @@
   void SendToEach(const std::function<void(HostMessage&)>& aAdd);
   /// When this host last called Broadcast() or SendToEach().
   MonotonicTime LastBroadcast() const { return mLastBroadcast; }
-  /// Adds a host; it counts as live only after its first message.
-  void AddHost(const std::string& aHost);
+  /// Sends one message, without content for any of them, to each of aHosts.
+  void SendToAll(const std::vector<std::string>& aHosts);
+  /// Adds a host; it counts as live only after its first message. False when it
+  /// was known.
+  bool AddHost(const std::string& aHost);
 
   /// The other hosts whose last message is newer than kLivenessTimeout.
   std::vector<FleetHost> LiveHosts() const;
--- a/Source/Entry/HostMessage.h
+++ b/Source/Entry/HostMessage.h
@@ -91,6 +91,12 @@
   int mPath = static_cast<int>(MessagePath::kDirect);
   /// Parts of a table or target list that is too large for one datagram.
   std::vector<ContentPart> mParts;
+  /// The sender asks to be told of the hosts that the receiver hears from.
+  bool mRequestsHosts = false;
+  /// The hosts that the sender hears from, for a receiver that asked for them.
+  std::vector<std::string> mIntroduced;
+  /// Number of hosts that the sender hears from; 0 when not stated.
+  std::uint32_t mLiveHosts = 0;
 
   MSGPACK_DEFINE_ARRAY(mHost,
                        mIncarnation,
@@ -116,7 +122,10 @@
                        mListChange,
                        mFailureDomain,
                        mPath,
-                       mParts)
+                       mParts,
+                       mRequestsHosts,
+                       mIntroduced,
+                       mLiveHosts)
 };
 
 } // namespace ragwortdeck
--- a/Source/Entry/PlatformCodec.h
+++ b/Source/Entry/PlatformCodec.h
@@ -172,7 +172,10 @@
   /// Writes a host's address to the host list.
   virtual HttpCall HostWrite(const std::string& aHost,
                              const std::string& aLease) const = 0;
-  virtual HttpCall HostsRead(const std::string& aAfter) const = 0;
+  /// A read that may be stale may miss the entries of the last seconds, and
+  /// costs a tenth.
+  virtual HttpCall HostsRead(const std::string& aAfter,
+                             bool aMayBeStale) const = 0;
   virtual Result<HostListPage> ReadHosts(const std::string& aBody) const = 0;
 
   virtual HttpCall ReportCall() const = 0;
--- a/Source/Entry/SiteFeed.cxx
+++ b/Source/Entry/SiteFeed.cxx
@@ -1,6 +1,5 @@
 #include "Entry/SiteFeed.h"
 
-#include "Core/HttpStatus.h"
 #include "Entry/StreamRun.h"
 
 #include <QByteArray>
@@ -23,18 +22,14 @@
                                        milliseconds(90),
                                        milliseconds(150),
                                        milliseconds(800) };
-/// The platform's store responds within 4 ms, or a few hundred ms when slow.
-constexpr milliseconds kStoreTimeout{ 1000 };
 /// Longest time between two broadcasts, which keep this host live for others.
 constexpr milliseconds kHeartbeat{ 1000 };
 /// Increases of this host's load within this time are sent in one message.
 /// Hosts that choose an engine in the meantime do not know of them.
 constexpr std::chrono::microseconds kFlushDelay{ 300 };
-/// An entry of the host list outlives its host by at most this time.
-constexpr milliseconds kLeaseLifetime{ 600000 };
-constexpr milliseconds kLeaseRenewalInterval{ 150000 };
-constexpr milliseconds kRegisterRetryDelay{ 700 };
 constexpr milliseconds kTickInterval{ 500 };
+/// Time that a listed host takes to introduce a starting one to all others.
+constexpr milliseconds kIntroductionTime{ 200 };
 /// When the target list is older than this, which is two missed reads, the
 /// engines themselves are queried.
 constexpr milliseconds kListStaleAfter{ 330 };
@@ -93,15 +88,24 @@
 SiteFeed::SiteFeed(EntryContext& aContext, HostExchange& aExchange)
   : mContext(aContext)
   , mExchange(aExchange)
+  , mStore(aContext)
+  , mDiscovery(aContext, aExchange, mStore)
   , mTableReads(aContext.mSettings.mPeers.mAddress, kTableTiming)
   , mListReads(aContext.mSettings.mPeers.mAddress, kListTiming)
   , mFlushTimer(aContext.mIo)
 {
-  const auto bounds = SharedReads::FirstReadOf(aContext.mSettings.mLinkMbps);
+  DeferFirstReads(Duration(0));
+}
+
+void
+SiteFeed::DeferFirstReads(Duration aSearch)
+{
+  const auto bounds =
+    SharedReads::FirstReadOf(mContext.mSettings.mLinkMbps, aSearch);
   const auto first =
-    aContext.Now() + bounds.mEarliest +
+    mContext.Now() + bounds.mEarliest +
     std::chrono::duration_cast<Duration>((bounds.mLatest - bounds.mEarliest) *
-                                         aContext.mRandom.Unit());
+                                         mContext.mRandom.Unit());
   mTableReads.DeferUntil(first);
   mListReads.DeferUntil(first);
 }
@@ -123,13 +127,19 @@
   for (const auto& seed : mContext.mSettings.mSeeds) {
     mExchange.AddHost(seed.mAddress);
   }
-  mExchange.Broadcast();
+  mDiscovery.mOnFirstStart = [this] {
+    DeferFirstReads(kMaxFirstListingDelay + kIntroductionTime);
+  };
+  mDiscovery.mAddContentRequest = [this](HostMessage& aMessage) {
+    aMessage.mRequestsTable = !mContext.mTable.Table();
+    aMessage.mRequestsList = !mContext.mTargets.IsKnown();
+  };
   mContext.SpawnLoop("receive_loop",
                      [this] { return mExchange.ReceiveLoop(); });
   mContext.SpawnLoop("table_loop", [this] { return TableLoop(); });
   mContext.SpawnLoop("target_loop", [this] { return TargetLoop(); });
   mContext.SpawnLoop("engine_loop", [this] { return EngineLoop(); });
-  mContext.SpawnLoop("host_loop", [this] { return HostLoop(); });
+  mContext.SpawnLoop("host_loop", [this] { return mDiscovery.Loop(); });
   mContext.SpawnLoop("tick_loop", [this] { return TickLoop(); });
   mContext.SpawnLoop("silence_loop", [this] { return SilenceLoop(); });
 }
@@ -179,25 +189,6 @@
   }
 }
 
-Task<Result<std::string>>
-SiteFeed::ReadStore(HttpCall aCall)
-{
-  mContext.mMetrics.Count("entry_store_calls_total");
-  auto reply = co_await mContext.mCalls.Call(
-    mContext.mSettings.mStore, std::move(aCall), kStoreTimeout);
-  if (!reply) {
-    co_return Failure(reply.error().mCode, reply.error().mMessage);
-  }
-  const auto status = reply.value().mStatus;
-  if (status != kStatusOk) {
-    // 410: the store has dropped the history that was asked for.
-    const bool isAbsent = status == kStatusNotFound || status == kStatusGone;
-    co_return Failure(isAbsent ? ErrorCode::kNotFound : ErrorCode::kUnavailable,
-                      "status " + std::to_string(status));
-  }
-  co_return std::move(reply.value().mBody);
-}
-
 Task<bool>
 SiteFeed::ReadTable()
 {
@@ -208,7 +199,7 @@
       proofs[host] = { peer.mIncarnation, peer.mSentAt };
     }
   }
-  auto body = co_await ReadStore(mContext.mCodec.TableRead());
+  auto body = co_await mStore.Call(mContext.mCodec.TableRead());
   if (!body) {
     RecordStoreState(body.error().mCode == ErrorCode::kNotFound,
                      body.error().mMessage);
@@ -331,7 +322,7 @@
 SiteFeed::WatchTargets(Milliseconds aWait)
 {
   auto body =
-    co_await ReadStore(mContext.mCodec.TargetsWatch(mList.mRevision, aWait));
+    co_await mStore.Call(mContext.mCodec.TargetsWatch(mList.mRevision, aWait));
   if (!body) {
     co_return Failure(body.error().mCode, body.error().mMessage);
   }
@@ -365,7 +356,7 @@
   TargetList list;
   std::string after;
   do {
-    auto body = co_await ReadStore(mContext.mCodec.TargetsRead(after));
+    auto body = co_await mStore.Call(mContext.mCodec.TargetsRead(after));
     if (!body) {
       RecordStoreState(false, body.error().mMessage);
       co_return false;
@@ -490,104 +481,6 @@
   }
 }
 
-Task<bool>
-SiteFeed::Register()
-{
-  const auto& store = mContext.mSettings.mStore;
-  if (!mLease.empty()) {
-    auto renewed = co_await mContext.mCalls.Call(
-      store, mContext.mCodec.LeaseRenewal(mLease), kStoreTimeout);
-    if (renewed && renewed.value().mStatus == kStatusOk) {
-      co_return true;
-    }
-    if (!renewed || renewed.value().mStatus != kStatusNotFound) {
-      co_return false;
-    }
-    mLease.clear();
-  }
-  auto lease = co_await mContext.mCalls.Call(
-    store, mContext.mCodec.LeaseCall(kLeaseLifetime), kStoreTimeout);
-  if (!lease || lease.value().mStatus != kStatusOk) {
-    co_return false;
-  }
-  auto id = mContext.mCodec.ReadLease(lease.value().mBody);
-  if (!id) {
-    co_return false;
-  }
-  auto written = co_await mContext.mCalls.Call(
-    store,
-    mContext.mCodec.HostWrite(mContext.mSettings.mPeers.mAddress, id.value()),
-    kStoreTimeout);
-  if (!written || written.value().mStatus != kStatusOk) {
-    co_return false;
-  }
-  mLease = id.value();
-  // The hosts are read after the write, so that of two hosts that start
-  // together at least the one that writes later sees the other.
-  auto hosts = co_await ReadHosts();
-  if (!hosts) {
-    mLease.clear();
-    co_return false;
-  }
-  auto others = std::move(*hosts);
-  for (const auto& host : others) {
-    mExchange.AddHost(host);
-  }
-  mExchange.Broadcast(
-    {}, HostExchange::Content::kState, MessageClass::kImportant);
-  mContext.mLog.Write("registered", { { "hosts", others.size() } });
-  RequestContentAtStart(std::move(others));
-  co_return true;
-}
-
-Task<std::optional<std::vector<std::string>>>
-SiteFeed::ReadHosts()
-{
-  std::vector<std::string> hosts;
-  std::string after;
-  do {
-    auto body = co_await ReadStore(mContext.mCodec.HostsRead(after));
-    if (!body) {
-      co_return std::nullopt;
-    }
-    auto page = mContext.mCodec.ReadHosts(body.value());
-    if (!page) {
-      mContext.mLog.Write("hosts_unreadable",
-                          { { "why", page.error().mMessage } });
-      co_return std::nullopt;
-    }
-    hosts.insert(
-      hosts.end(), page.value().mHosts.begin(), page.value().mHosts.end());
-    after = page.value().mNext;
-  } while (!after.empty());
-  co_return hosts;
-}
-
-void
-SiteFeed::RequestContentAtStart(std::vector<std::string> aHosts)
-{
-  std::erase(aHosts, mContext.mSettings.mPeers.mAddress);
-  if (aHosts.empty()) {
-    return;
-  }
-  const auto& host = aHosts[mContext.mRandom.Below(aHosts.size())];
-  mExchange.Send(host, [&](HostMessage& aMessage) {
-    aMessage.mRequestsTable = !mContext.mTable.Table();
-    aMessage.mRequestsList = !mContext.mTargets.IsKnown();
-  });
-}
-
-Task<void>
-SiteFeed::HostLoop()
-{
-  while (true) {
-    const bool done = co_await Register();
-    co_await SleepFor(mContext.mIo,
-                      done ? Duration(kLeaseRenewalInterval)
-                           : Duration(kRegisterRetryDelay));
-  }
-}
-
 Task<void>
 SiteFeed::TickLoop()
 {
@@ -682,6 +575,8 @@
   aMessage.mTableRevision = mContext.mTable.Revision();
   aMessage.mListRevision = mList.mRevision;
   aMessage.mListFingerprint = mListFingerprint;
+  aMessage.mLiveHosts =
+    static_cast<std::uint32_t>(mExchange.LiveHosts().size());
   if (aContent != HostExchange::Content::kAll) {
     return;
   }
@@ -871,6 +766,7 @@
 {
   const auto now = mContext.Now();
   mContext.mLoad.SetPeer(aMessage.mHost, aMessage.mLoads, now);
+  mDiscovery.Handle(aMessage);
   if (!aMessage.mDeparting.empty() && mOnDeparting) {
     mOnDeparting(aMessage.mDeparting);
   }
--- a/Source/Entry/SiteFeed.h
+++ b/Source/Entry/SiteFeed.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "Entry/EntryContext.h"
-#include "Entry/HostExchange.h"
+#include "Entry/HostDiscovery.h"
 #include "Serving/SharedReads.h"
 #include "Serving/SilenceWatch.h"
 
@@ -39,13 +39,15 @@
   HostExchange& Exchange() { return mExchange; }
 
 private:
+  /// Sets the time of the first reads of a starting host; see
+  /// SharedReads::FirstReadOf().
+  void DeferFirstReads(Duration aSearch);
   Task<void> TableLoop();
   Task<void> TargetLoop();
   Task<void> EngineLoop();
   Task<void> QueryEngine(Target aEngine);
   void HandleReportedLeaving(const std::string& aTarget,
                              std::int64_t aLeavesMs);
-  Task<void> HostLoop();
   Task<void> TickLoop();
   Task<void> SilenceLoop();
   void AvoidSilentEngine(const std::string& aEngine, const std::string& aFrom);
@@ -56,15 +58,6 @@
   /// Waits up to aWait for changes. Fails with kNotFound when the store has
   /// dropped its history.
   Task<Result<void>> WatchTargets(Milliseconds aWait);
-  Task<bool> Register();
-  Task<std::optional<std::vector<std::string>>> ReadHosts();
-  /// Requests the table and the target list from another host, so that not all
-  /// hosts of a fleet that starts read the store. The host reads the store
-  /// after a delay if none arrive.
-  void RequestContentAtStart(std::vector<std::string> aHosts);
-  /// Returns the body of the store's response; fails with kNotFound when there
-  /// is no value.
-  Task<Result<std::string>> ReadStore(HttpCall aCall);
 
   void FillMessage(const std::string& aHost,
                    HostExchange::Content aContent,
@@ -107,6 +100,8 @@
 
   EntryContext& mContext;
   HostExchange& mExchange;
+  StoreClient mStore;
+  HostDiscovery mDiscovery;
   SharedReads mTableReads;
   SharedReads mListReads;
   /// The compressed bytes of the table's value in the store, for other hosts.
@@ -115,8 +110,6 @@
   std::uint64_t mListFingerprint = 0;
   /// The compressed mList, for other hosts; built when the first one needs it.
   std::string mListContent;
-  /// The lease of this host's entry in the host list; empty when none is held.
-  std::string mLease;
   /// The newest message that was received from a host before a read began.
   struct Proof
   {
--- a/Source/Serving/SharedReads.cxx
+++ b/Source/Serving/SharedReads.cxx
@@ -45,7 +45,7 @@
 }
 
 SharedReads::FirstRead
-SharedReads::FirstReadOf(int aLinkMbps)
+SharedReads::FirstReadOf(int aLinkMbps, Duration aSearch)
 {
   using std::chrono::milliseconds;
   // A starting host registers and requests the contents from others first.
@@ -56,7 +56,7 @@
   constexpr milliseconds kTimeAtOneMbps{ 3000 };
   const auto sendTime =
     std::min(kMaxSpread, kTimeAtOneMbps / std::max(1, aLinkMbps));
-  const Duration earliest = kEarliest + sendTime;
+  const Duration earliest = aSearch + kEarliest + sendTime;
   return { earliest, earliest + std::max(kMinSpread, sendTime) };
 }
 
--- a/Source/Serving/SharedReads.h
+++ b/Source/Serving/SharedReads.h
@@ -86,12 +86,13 @@
     Duration mEarliest{ 0 };
     Duration mLatest{ 0 };
   };
-  /// Returns the bounds for a host with a link of aLinkMbps.
+  /// Returns the bounds for a host with a link of aLinkMbps. aSearch is the
+  /// time within which the hosts of the fleet get to know each other.
   ///
   /// Covers the start of a whole fleet at once: whoever reads first sends the
   /// result to all others, which takes a slow link long, and hosts that wait
   /// for it in vain read as well. So hosts with fast links go first.
-  static FirstRead FirstReadOf(int aLinkMbps);
+  static FirstRead FirstReadOf(int aLinkMbps, Duration aSearch);
 
   /// Lets no read be due before aTime, unless a result arrives first.
   void DeferUntil(MonotonicTime aTime) { mDeferredUntil = aTime; }
--- a/Tests/FleetCodec/FleetCodecTest.cxx
+++ b/Tests/FleetCodec/FleetCodecTest.cxx
@@ -80,8 +80,10 @@
                           .value();
       CPPUNIT_ASSERT(page.mHosts == std::vector<std::string>{ "10.0.0.1" });
       CPPUNIT_ASSERT_EQUAL(std::string("entry/10.0.0.1"), page.mNext);
-      CPPUNIT_ASSERT(
-        codec.HostsRead(page.mNext).mPath.ends_with("&after=entry/10.0.0.1"));
+      CPPUNIT_ASSERT(codec.HostsRead(page.mNext, false)
+                       .mPath.ends_with("&after=entry/10.0.0.1"));
+      CPPUNIT_ASSERT(codec.HostsRead(page.mNext, true)
+                       .mPath.ends_with("&after=entry/10.0.0.1&allow_stale=1"));
     });
   }
 
--- a/Tests/Serving/PlacementTest.cxx
+++ b/Tests/Serving/PlacementTest.cxx
@@ -510,18 +510,25 @@
   void TestFirstReads()
   {
     Section("hosts with fast links have read before slow ones begin", [&] {
-      const auto fast = SharedReads::FirstReadOf(200);
-      const auto slow = SharedReads::FirstReadOf(20);
+      const auto fast = SharedReads::FirstReadOf(200, milliseconds(0));
+      const auto slow = SharedReads::FirstReadOf(20, milliseconds(0));
       CPPUNIT_ASSERT(fast.mLatest < slow.mEarliest);
     });
     Section("no link delays the start of a host for long", [&] {
       for (const int link : { 0, 1, 10, 100, 1000 }) {
-        const auto bounds = SharedReads::FirstReadOf(link);
+        const auto bounds = SharedReads::FirstReadOf(link, milliseconds(0));
         CPPUNIT_ASSERT(bounds.mEarliest >= milliseconds(40));
         CPPUNIT_ASSERT(bounds.mLatest >= bounds.mEarliest + milliseconds(60));
         CPPUNIT_ASSERT(bounds.mLatest <= milliseconds(400));
       }
     });
+    Section("at the first start of a fleet, the hosts know each other before "
+            "they read",
+            [&] {
+              const auto bounds =
+                SharedReads::FirstReadOf(200, milliseconds(3000));
+              CPPUNIT_ASSERT(bounds.mEarliest > milliseconds(3000));
+            });
   }
 
   void TestReadersOfLargeFleet()
