--- a/Source/Entry/CallerRequest.h
+++ b/Source/Entry/CallerRequest.h
@@ -58,6 +58,8 @@
   std::string mTarget;
   std::string mReason;
   std::int64_t mWaitedMs = 0;
+  /// Time from the arrival to the first event of a stream; 0 before it.
+  std::int64_t mFirstEventMs = 0;
   std::int64_t mEvents = 0;
 };
 
--- a/Source/Entry/Departures.cxx
+++ b/Source/Entry/Departures.cxx
@@ -190,7 +190,7 @@
     }
   }
   for (const auto& copy : aPlan) {
-    if (copy.mHost == self && !copy.mDestination.empty()) {
+    if (copy.mHost == self) {
       MoveOwn(copy);
     }
   }
@@ -227,7 +227,15 @@
   run.mRun = aCopy.mRun;
   const auto it = mContext.mStreams.find(aCopy.mRun);
   if (it == mContext.mStreams.end() || it->second->Engine() != aCopy.mEngine) {
-    SendCopied(run);
+    if (!aCopy.mDestination.empty()) {
+      SendCopied(run);
+    }
+    return;
+  }
+  if (aCopy.mDestination.empty()) {
+    mContext.mLog.Write(
+      "move_not_planned",
+      { { "id", it->second->RequestId() }, { "engine", aCopy.mEngine } });
     return;
   }
   const auto now = mContext.Now();
--- a/Source/Entry/StreamRun.cxx
+++ b/Source/Entry/StreamRun.cxx
@@ -488,6 +488,9 @@
         RecordProgress(now);
         if (mEvents == 0) {
           mFirstEventAt = now;
+          mRequest->mFirstEventMs =
+            std::chrono::duration_cast<Milliseconds>(now - mRequest->mArrived)
+              .count();
           mContext.mMetrics.Observe("entry_first_event_ms",
                                     now - mRequest->mArrived);
         }
--- a/Source/Entry/StreamRun.h
+++ b/Source/Entry/StreamRun.h
@@ -54,6 +54,7 @@
   /// Starts to move the run; has no effect while a move is in progress.
   void StartMove(MovePlan aPlan);
   const std::string& Engine() const { return mEngine.mId; }
+  const std::string& RequestId() const { return mRequest->mCallerHeaders.mId; }
   /// The stream that relays events now; empty before the first event and during
   /// a move.
   std::optional<RunningStream> Running() const;
--- a/Source/Serving/ServingTable.cxx
+++ b/Source/Serving/ServingTable.cxx
@@ -29,6 +29,20 @@
 
 } // namespace
 
+const char*
+ToText(RouteKind aKind)
+{
+  switch (aKind) {
+    case RouteKind::kSafe:
+      return "safe";
+    case RouteKind::kUnsafe:
+      return "unsafe";
+    case RouteKind::kStream:
+      return "stream";
+  }
+  return "";
+}
+
 ServingTable
 ServingTable::Create(std::int64_t aVersion,
                      std::vector<Route> aRoutes,
--- a/Source/Serving/ServingTable.h
+++ b/Source/Serving/ServingTable.h
@@ -24,6 +24,10 @@
   kStream,
 };
 
+/// Returns the name of a kind, for log lines.
+const char*
+ToText(RouteKind aKind);
+
 /// \brief A service of a route and its relative share of the requests.
 struct WeightedService
 {
