Entry: Do not reuse a connection for the request it served last

Two cases of what operators of similar systems reported, found by reading: - A second copy of an answer. An answer is known by the request's id. A stream that an engine refused, and that was later moved to it, could use the same connection; a late copy of the refusal then ended the stream. - A planned stop under load. The process waited for requests that it served, not for those whose body was still arriving, nor for connections that only the kernel had accepted.

Ruled out: marking each send with an id of its own, since targets echo the caller's.

--- a/Source/Entry/CallClient.cxx
+++ b/Source/Entry/CallClient.cxx
@@ -17,7 +17,7 @@
                  HttpCall aCall,
                  std::chrono::milliseconds aTimeout)
 {
-  auto connection = co_await mPool.Acquire(aTo, false);
+  auto connection = co_await mPool.Acquire(aTo, false, {});
   if (!connection) {
     co_return Failure(ErrorCode::kUnavailable,
                       ToText(aTo) + " cannot be reached");
--- a/Source/Entry/CallerSession.cxx
+++ b/Source/Entry/CallerSession.cxx
@@ -127,6 +127,7 @@
     }
     mBuffer.commit(n);
   }
+  const InFlight reading(mContext.mReading);
   mStream.expires_after(limits.mHeaderTimeout);
   http::request_parser<http::string_body> parser;
   parser.header_limit(static_cast<std::uint32_t>(limits.mHeaderBytes));
--- a/Source/Entry/EntryContext.h
+++ b/Source/Entry/EntryContext.h
@@ -91,6 +91,8 @@
   /// pause.
   void SpawnLoop(const char* aName, std::function<Task<void>()> aLoop);
   void LogUnexpectedError(const char* aWhere, const std::exception& aError);
+  /// Whether a request is being read or served.
+  bool HasWork() const { return mReading > 0 || !mActive.empty(); }
   /// Ends all requests, as at their deadline. Each gets an answer.
   void FinishAll();
 
@@ -137,6 +139,8 @@
   std::size_t mAnswerBytes = 0;
   /// Bytes of request bodies in memory.
   std::size_t mBufferedBytes = 0;
+  /// Requests of which some bytes have arrived, but not all.
+  int mReading = 0;
   /// Requests being served.
   std::set<CallerRequest*> mActive;
   MonotonicTime mStartedAt;
--- a/Source/Entry/EntryProcess.cxx
+++ b/Source/Entry/EntryProcess.cxx
@@ -3,6 +3,7 @@
 #include "Core/HttpStatus.h"
 #include "Core/Program.h"
 #include "Entry/CallerSession.h"
+#include "Entry/PendingConnection.h"
 
 #include <cstdlib>
 #include <iostream>
@@ -290,8 +291,8 @@
     began +
     std::max(milliseconds(0), mContext.mSettings.mShutdownGrace - kGraceMargin);
   const auto earliest = std::min(end, began + Duration(kServeAfterStop));
-  while (mClock.Now() < end &&
-         (mClock.Now() < earliest || !mContext.mActive.empty())) {
+  while (mClock.Now() < end && (mClock.Now() < earliest || mContext.HasWork() ||
+                                HasPendingConnection(mCallers))) {
     co_await SleepFor(mIo, kDrainPoll);
   }
   const auto cut = mContext.mActive.size();
--- a/Source/Entry/StreamRun.cxx
+++ b/Source/Entry/StreamRun.cxx
@@ -365,7 +365,8 @@
 {
   const auto engine = mEngine;
   const InFlight inFlight(mContext.mInFlight[engine.mId]);
-  auto connection = co_await mContext.mPool.Acquire(engine.mEndpoint, false);
+  auto connection = co_await mContext.mPool.Acquire(
+    engine.mEndpoint, false, mRequest->mCallerHeaders.mId);
   if (!connection) {
     mContext.mHealth.Unreachable(engine.mId, mContext.Now());
     mRequest->mReason = engine.mId + ": cannot connect";
--- a/Source/Entry/TargetConnection.h
+++ b/Source/Entry/TargetConnection.h
@@ -31,6 +31,8 @@
   /// The connection was taken from the pool, so a late copy of an answer to an
   /// earlier request may arrive on it.
   bool mReused = false;
+  /// Id of the request that was sent last; empty for calls without one.
+  std::string mLastRequest;
   /// The connection must not be reused after this time.
   MonotonicTime mIdleUntil;
 };
--- a/Source/Entry/TargetExchange.cxx
+++ b/Source/Entry/TargetExchange.cxx
@@ -124,8 +124,8 @@
   outcome.mKind = TargetOutcome::Kind::kNotSent;
   const InFlight inFlight(mContext.mInFlight[aTarget.mId]);
   const auto began = mContext.Now();
-  mConnection =
-    co_await mContext.mPool.Acquire(aTarget.mEndpoint, aNewConnection);
+  mConnection = co_await mContext.mPool.Acquire(
+    aTarget.mEndpoint, aNewConnection, mRequest.mCallerHeaders.mId);
   if (mAborted) {
     outcome.mReason = "ended before it was sent";
     co_return outcome;
--- a/Source/Entry/TargetPool.cxx
+++ b/Source/Entry/TargetPool.cxx
@@ -10,19 +10,38 @@
 {
 }
 
-Task<TargetConnectionPtr>
-TargetPool::Acquire(Endpoint aEndpoint, bool aNewConnection)
+TargetConnectionPtr
+TargetPool::TakeIdle(const Endpoint& aEndpoint, const std::string& aRequest)
 {
   auto& idle = mIdle[aEndpoint];
-  while (!aNewConnection && !idle.empty()) {
-    auto connection = idle.back();
-    idle.pop_back();
+  for (auto n = idle.size(); n > 0; --n) {
+    const auto it = idle.begin() + static_cast<std::ptrdiff_t>(n - 1);
+    if (!aRequest.empty() && (*it)->mLastRequest == aRequest) {
+      continue;
+    }
+    auto connection = *it;
+    idle.erase(it);
     if (mClock.Now() < connection->mIdleUntil && connection->IsReusable()) {
       connection->mReused = true;
+      return connection;
+    }
+  }
+  return nullptr;
+}
+
+Task<TargetConnectionPtr>
+TargetPool::Acquire(Endpoint aEndpoint,
+                    bool aNewConnection,
+                    std::string aRequest)
+{
+  if (!aNewConnection) {
+    if (auto connection = TakeIdle(aEndpoint, aRequest)) {
+      connection->mLastRequest = std::move(aRequest);
       co_return connection;
     }
   }
   auto connection = std::make_shared<TargetConnection>(mContext, aEndpoint);
+  connection->mLastRequest = std::move(aRequest);
   ++mOpened;
   error_code ec;
   const auto address = asio::ip::make_address(aEndpoint.mAddress, ec);
--- a/Source/Entry/TargetPool.h
+++ b/Source/Entry/TargetPool.h
@@ -20,9 +20,14 @@
 
   TargetPool(asio::io_context& aContext, const Clock& aClock);
 
-  /// Returns an idle connection, or opens one if there is none or
-  /// aNewConnection is set; null when the target cannot be reached.
-  Task<TargetConnectionPtr> Acquire(Endpoint aEndpoint, bool aNewConnection);
+  /// Returns an idle connection for the request aRequest, or opens one if there
+  /// is none or aNewConnection is set; null when the target cannot be reached.
+  ///
+  /// A connection that served the same request last is not reused for it: a
+  /// late copy of the earlier answer could not be told from the new one.
+  Task<TargetConnectionPtr> Acquire(Endpoint aEndpoint,
+                                    bool aNewConnection,
+                                    std::string aRequest);
   /// Returns a connection to the pool after a complete answer.
   /// aKeepAliveSeconds is the idle timeout that the target stated, 0 for none.
   void Release(TargetConnectionPtr aConnection, int aKeepAliveSeconds);
@@ -38,6 +43,10 @@
   std::uint64_t Opened() const { return mOpened; }
 
 private:
+  /// Takes an idle connection that aRequest may use; null if there is none.
+  TargetConnectionPtr TakeIdle(const Endpoint& aEndpoint,
+                               const std::string& aRequest);
+
   asio::io_context& mContext;
   const Clock& mClock;
   std::map<Endpoint, std::vector<TargetConnectionPtr>> mIdle;
--- a/Tests/Entry/FieldFailuresTest.cxx
+++ b/Tests/Entry/FieldFailuresTest.cxx
@@ -1,3 +1,4 @@
+#include "Entry/PendingConnection.h"
 #include "Entry/RelayWorld.h"
 #include "Entry/TargetExchange.h"
 #include "Support/Section.h"
@@ -92,6 +93,7 @@
   CPPUNIT_TEST(TestEndlessHeads);
   CPPUNIT_TEST(TestEndlessBodies);
   CPPUNIT_TEST(TestRequestsAtTheEndOfTheGrace);
+  CPPUNIT_TEST(TestRequestsReadDuringAStop);
   CPPUNIT_TEST(TestUnexpectedErrors);
   CPPUNIT_TEST_SUITE_END();
 
@@ -138,6 +140,46 @@
       CPPUNIT_ASSERT(
         !Contains(sendLater(first.substr(0, first.size() - 2)), "first"));
     });
+    Section("a second copy of a refusal, when the same request comes to the "
+            "same target again",
+            [&] {
+              RelayWorld world;
+              auto& target = world.AddTarget("t1");
+              const std::string refusal =
+                "HTTP/1.1 503 Full\r\nAttempt-Id: id1\r\nNot-Executed: 1\r\n"
+                "Content-Length: 0\r\n\r\n";
+              target.AddScript([&](tcp::socket& aSocket, const std::string&) {
+                WriteAll(aSocket, refusal);
+                return true;
+              });
+              target.AddScript([&](tcp::socket& aSocket, const std::string&) {
+                // The copy arrives only on the connection that was used before.
+                WriteAll(aSocket,
+                         (world.Context().mPool.Opened() == 1 ? refusal : "") +
+                           RelayWorld::Answer("id1", "ran"));
+                return true;
+              });
+              world.Start();
+              auto request = std::make_shared<CallerRequest>();
+              request->mRequest.target("/unsafe/x");
+              request->mCallerHeaders.mId = "id1";
+              const auto send = [&] {
+                std::optional<TargetOutcome> outcome;
+                auto exchange =
+                  std::make_shared<TargetExchange>(world.Context(), request);
+                world.Context().Spawn(
+                  "exchange",
+                  [](std::shared_ptr<TargetExchange> aExchange,
+                     Target aTarget,
+                     std::optional<TargetOutcome>& aOutcome) -> Task<void> {
+                    aOutcome = co_await aExchange->Run(aTarget, false);
+                  }(exchange, target.Describe("s"), outcome));
+                world.RunUntil([&] { return outcome.has_value(); });
+                return outcome->mKind;
+              };
+              CPPUNIT_ASSERT(send() == TargetOutcome::Kind::kNotRun);
+              CPPUNIT_ASSERT(send() == TargetOutcome::Kind::kAnswered);
+            });
     Section("a copy whose end is not marked", [&] {
       CPPUNIT_ASSERT(sendLater("HTTP/1.1 200 OK\r\nAttempt-Id: id1\r\n"
                                "Response-Seal: s\r\n\r\nfirst")
@@ -401,6 +443,42 @@
     });
   }
 
+  void TestRequestsReadDuringAStop()
+  {
+    RelayWorld world;
+    auto& target = world.AddTarget("t1");
+    target.AddScript([](tcp::socket& aSocket, const std::string&) {
+      WriteAll(aSocket, RelayWorld::Answer("id1", "done"));
+      return false;
+    });
+    world.Start();
+    const auto idle = world.Call("");
+    Section("a connection without a request does not hold up the stop",
+            [&] { CPPUNIT_ASSERT(!world.Context().HasWork()); });
+    auto request =
+      RelayWorld::Request("unsafe", "id1", "Content-Length: 9\r\n");
+    const auto caller = world.Call(request + "body");
+    Section("a request whose body is not complete does",
+            [&] { world.RunUntil([&] { return world.Context().HasWork(); }); });
+    world.Context().mStopping = true;
+    world.Context().mStoppedAt = world.Context().Now();
+    Section("and gets its answer", [&] {
+      WriteAll(*caller, "<end>");
+      CPPUNIT_ASSERT(Contains(world.Reply(*caller, "done"), "200 OK"));
+      world.RunUntil([&] { return !world.Context().HasWork(); });
+    });
+    Section("a connection that the kernel accepted shortly before is seen",
+            [&] {
+              tcp::acceptor acceptor(
+                world.Context().mIo,
+                tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0));
+              CPPUNIT_ASSERT(!HasPendingConnection(acceptor));
+              tcp::socket late(world.Context().mIo);
+              late.connect(acceptor.local_endpoint());
+              CPPUNIT_ASSERT(HasPendingConnection(acceptor));
+            });
+  }
+
   void TestUnexpectedErrors()
   {
     RelayWorld world(std::make_unique<ThrowingCodec>());
