Entry, Serving: Merge load messages within failure domains

Cause: on the large deployment each host receives each change of load of all 295 hosts in a datagram of its own, about 450 a second. The fleet grows further.

Ruled out: fewer reports (a decrease already waits 300 ms there), a fixed relay for each domain (a single loss would cost all messages of a domain), sums by engine (a lost host's load could not be taken back).

Change: in domains of 40 hosts and more, routine messages go to one of three collectors, the hosts with the fastest links. A collector passes on in one datagram what arrives within 20 ms. Successive messages of a sender take different collectors. Hosts of older versions receive everything directly. While the store is away, hosts of later ranks pause up to 7 s after a failed read instead of 2 s; a host that loses all others counts as the first rank at once. 295 hosts then read twice each at most while it is away for 8 s.

--- a/Source/Entry/EntryProcess.cxx
+++ b/Source/Entry/EntryProcess.cxx
@@ -225,6 +225,8 @@
         "\nentry_log_lines_dropped_total " + std::to_string(mLog.Dropped()) +
         "\nentry_peer_messages_relayed_total " +
         std::to_string(mExchange.Relayed()) +
+        "\nentry_peer_datagrams_merged_total " +
+        std::to_string(mExchange.MergedDatagrams()) +
         "\nentry_peer_messages_dropped_total " +
         std::to_string(mExchange.Dropped()) + "\n";
     } else {
--- a/Source/Entry/HostExchange.cxx
+++ b/Source/Entry/HostExchange.cxx
@@ -14,6 +14,23 @@
 /// still receive, as when a link fails in one direction.
 constexpr Duration kSilentHostInterval = std::chrono::milliseconds(1000);
 
+std::string
+Pack(const HostMessage& aMessage)
+{
+  msgpack::sbuffer bytes;
+  msgpack::pack(bytes, aMessage);
+  return { bytes.data(), bytes.size() };
+}
+
+/// Throws if the bytes are no message of this system, or of another version.
+HostMessage
+Unpack(const char* aData, std::size_t aSize)
+{
+  HostMessage message;
+  UnpackBounded(aData, aSize).get().convert(message);
+  return message;
+}
+
 } // namespace
 
 HostExchange::HostExchange(asio::io_context& aContext,
@@ -31,6 +48,7 @@
   , mIncarnation(aIncarnation)
   , mSocket(aContext)
   , mBuffer(kMaxDatagramBytes)
+  , mMergeTimer(aContext)
 {
 }
 
@@ -81,11 +99,9 @@
 {
   HostMessage message;
   try {
-    const auto handle = UnpackBounded(mBuffer.data(), aSize);
-    handle.get().convert(message);
+    message = Unpack(mBuffer.data(), aSize);
   } catch (const std::exception&) {
-    // Not a message of this system, or one of another version: anyone can send
-    // to this port.
+    // Anyone can send to this port.
     ++mDropped;
     return;
   }
@@ -93,29 +109,64 @@
     return;
   }
   const auto from = mFrom.address().to_string();
-  const bool relayed = message.mPath == static_cast<int>(MessagePath::kRelayed);
+  const auto path = static_cast<MessagePath>(message.mPath);
+  const bool isKnown = mPeers.contains(from);
   if (message.mHost.empty() ||
-      (relayed ? !mPeers.contains(from) : message.mHost != from)) {
+      (path == MessagePath::kRelayed ? !isKnown : message.mHost != from) ||
+      (path == MessagePath::kMerged && !isKnown)) {
     ++mDropped;
     return;
   }
-  auto& peer = mPeers[message.mHost];
-  // Datagrams may arrive out of order; older ones are ignored.
-  if (peer.mIncarnation == message.mIncarnation &&
-      message.mSentAt < peer.mSentAt) {
+  if (path == MessagePath::kMerged) {
+    AcceptMerged(message);
     return;
   }
-  peer = { message.mIncarnation,
-           message.mSentAt,
-           mClock.Now(),
-           message.mLinkMbps,
-           message.mFailureDomain };
-  if (message.mPath == static_cast<int>(MessagePath::kToRelay)) {
+  if (!Accept(message)) {
+    return;
+  }
+  if (path == MessagePath::kToRelay) {
     Relay(message);
+  } else if (path == MessagePath::kToMerge) {
+    Collect(message.mHost, { mBuffer.data(), aSize });
   }
   mReceive(message);
 }
 
+bool
+HostExchange::Accept(const HostMessage& aMessage)
+{
+  auto& peer = mPeers[aMessage.mHost];
+  // Datagrams may arrive out of order; older ones are ignored.
+  if (peer.mIncarnation == aMessage.mIncarnation &&
+      aMessage.mSentAt < peer.mSentAt) {
+    return false;
+  }
+  peer = {
+    aMessage.mIncarnation, aMessage.mSentAt,        mClock.Now(),
+    aMessage.mLinkMbps,    aMessage.mFailureDomain, aMessage.mAcceptsMerged
+  };
+  return true;
+}
+
+void
+HostExchange::AcceptMerged(const HostMessage& aMessage)
+{
+  for (const auto& bytes : aMessage.mMerged) {
+    HostMessage message;
+    try {
+      message = Unpack(bytes.data(), bytes.size());
+    } catch (const std::exception&) {
+      ++mDropped;
+      continue;
+    }
+    if (message.mHost.empty()) {
+      ++mDropped;
+    } else if (message.mHost != mLocal.mAddress && Accept(message)) {
+      mReceive(message);
+    }
+  }
+}
+
 HostMessage
 HostExchange::MakeMessage(const std::string& aHost,
                           Content aContent,
@@ -126,6 +177,7 @@
   message.mIncarnation = mIncarnation;
   message.mLinkMbps = mLinkMbps;
   message.mFailureDomain = mFailureDomain;
+  message.mAcceptsMerged = true;
   message.mSentAt = mClock.Now().time_since_epoch().count();
   mFillMessage(aHost, aContent, message);
   if (aAdd) {
@@ -138,12 +190,18 @@
 HostExchange::SendTo(const std::vector<std::string>& aHosts,
                      const HostMessage& aMessage)
 {
-  if (aHosts.empty()) {
-    return;
+  if (!aHosts.empty()) {
+    SendBytes(aHosts, Pack(aMessage));
   }
-  msgpack::sbuffer bytes;
-  msgpack::pack(bytes, aMessage);
-  iovec content{ bytes.data(), bytes.size() };
+}
+
+void
+HostExchange::SendBytes(const std::vector<std::string>& aHosts,
+                        const std::string& aBytes)
+{
+  // sendmmsg() does not write to the content.
+  iovec content{ const_cast<char*>(aBytes.data()), // NOLINT(*-const-cast)
+                 aBytes.size() };
   std::vector<udp::endpoint> receivers;
   receivers.reserve(aHosts.size());
   for (const auto& host : aHosts) {
@@ -197,18 +255,29 @@
   std::vector<std::string> silent;
   for (const auto& [host, peer] : mPeers) {
     if (IsLive(peer, now)) {
-      live.push_back(
-        { host, peer.mFailureDomain, peer.mLinkMbps, now - peer.mReceivedAt });
+      live.push_back({ host,
+                       peer.mFailureDomain,
+                       peer.mLinkMbps,
+                       now - peer.mReceivedAt,
+                       peer.mAcceptsMerged });
     } else if (toSilent) {
       silent.push_back(host);
     }
   }
-  const auto plan = PlanFanOut(mFailureDomain, live, aClass, mRandom);
+  const Receiver self{
+    mLocal.mAddress, mFailureDomain, mLinkMbps, Duration(0), true
+  };
+  const auto plan = PlanFanOut(self, live, aClass, mBroadcasts++, mRandom);
   auto message = MakeMessage({}, aContent, aAdd);
   SendTo(plan.mDirect, message);
   SendTo(silent, message);
   message.mPath = static_cast<int>(MessagePath::kToRelay);
   SendTo(plan.mRelays, message);
+  message.mPath = static_cast<int>(MessagePath::kToMerge);
+  SendTo(plan.mCollectors, message);
+  if (plan.mCollectsOwn) {
+    Collect(mLocal.mAddress, Pack(message));
+  }
 }
 
 void
@@ -220,20 +289,60 @@
   }
 }
 
-void
-HostExchange::Relay(HostMessage aMessage)
+std::vector<std::string>
+HostExchange::DomainHosts(
+  const std::function<bool(const std::string&, const Peer&)>& aFilter) const
 {
-  ++mRelayed;
   const auto now = mClock.Now();
   std::vector<std::string> hosts;
   for (const auto& [host, peer] : mPeers) {
-    if (host != aMessage.mHost && peer.mFailureDomain == mFailureDomain &&
-        IsLive(peer, now)) {
+    if (peer.mFailureDomain == mFailureDomain && IsLive(peer, now) &&
+        aFilter(host, peer)) {
       hosts.push_back(host);
     }
   }
+  return hosts;
+}
+
+void
+HostExchange::Relay(HostMessage aMessage)
+{
+  ++mRelayed;
   aMessage.mPath = static_cast<int>(MessagePath::kRelayed);
-  SendTo(hosts, aMessage);
+  SendTo(DomainHosts([&](const std::string& aHost, const Peer&) {
+           return aHost != aMessage.mHost;
+         }),
+         aMessage);
+}
+
+void
+HostExchange::Collect(const std::string& aHost, std::string aMessage)
+{
+  if (!mMerger.Add(aHost, std::move(aMessage), mClock.Now())) {
+    return;
+  }
+  mMergeTimer.expires_after(MessageMerger::kInterval);
+  mMergeTimer.async_wait([this](const error_code& aError) {
+    if (!aError) {
+      SendCollected();
+    }
+  });
+}
+
+void
+HostExchange::SendCollected()
+{
+  const auto hosts = DomainHosts(
+    [](const std::string&, const Peer& aPeer) { return aPeer.mAcceptsMerged; });
+  HostMessage message;
+  message.mHost = mLocal.mAddress;
+  message.mIncarnation = mIncarnation;
+  message.mPath = static_cast<int>(MessagePath::kMerged);
+  for (auto& messages : mMerger.Take(mClock.Now())) {
+    message.mMerged = std::move(messages);
+    SendTo(hosts, message);
+    ++mMergedDatagrams;
+  }
 }
 
 void
--- a/Source/Entry/HostExchange.h
+++ b/Source/Entry/HostExchange.h
@@ -4,6 +4,7 @@
 #include "Entry/Asio.h"
 #include "Entry/HostMessage.h"
 #include "Serving/FanOut.h"
+#include "Serving/MessageMerger.h"
 #include "Serving/SharedReads.h"
 
 #include <functional>
@@ -40,6 +41,7 @@
     int mLinkMbps = 0;
     /// Empty until known.
     std::string mFailureDomain;
+    bool mAcceptsMerged = false;
   };
   /// How much of its state a host sends.
   enum class Content
@@ -77,7 +79,8 @@
             const std::function<void(HostMessage&)>& aAdd = {},
             Content aContent = Content::kAll);
   /// Sends one message to all known hosts, through relays to those in other
-  /// failure domains. aContent is not kAll. Hosts that do not count as live, as
+  /// failure domains, and in large domains merged with those of other hosts
+  /// (PlanFanOut). aContent is not kAll. Hosts that do not count as live, as
   /// after a start, get important messages directly and others once a second.
   void Broadcast(const std::function<void(HostMessage&)>& aAdd = {},
                  Content aContent = Content::kState,
@@ -105,17 +108,32 @@
 
   /// Datagrams that were dropped since they are no message of a known host.
   std::uint64_t Dropped() const { return mDropped; }
-  /// Messages that this host passed on.
+  /// Messages that this host passed on, each in a datagram of its own.
   std::uint64_t Relayed() const { return mRelayed; }
+  /// Datagrams with messages of other hosts that this host passed on.
+  std::uint64_t MergedDatagrams() const { return mMergedDatagrams; }
 
 private:
   void Handle(std::size_t aSize);
+  /// Records a message of another host, however it arrived; false if a newer
+  /// one of that host has arrived before.
+  bool Accept(const HostMessage& aMessage);
+  /// Takes the messages of other hosts that aMessage carries.
+  void AcceptMerged(const HostMessage& aMessage);
+  /// Passes a packed message on within this failure domain, with others.
+  void Collect(const std::string& aHost, std::string aMessage);
+  void SendCollected();
+  /// The other hosts of this failure domain that count as live.
+  std::vector<std::string> DomainHosts(
+    const std::function<bool(const std::string&, const Peer&)>& aFilter) const;
   HostMessage MakeMessage(const std::string& aHost,
                           Content aContent,
                           const std::function<void(HostMessage&)>& aAdd) const;
   /// Packs aMessage once and sends it to all of aHosts.
   void SendTo(const std::vector<std::string>& aHosts,
               const HostMessage& aMessage);
+  void SendBytes(const std::vector<std::string>& aHosts,
+                 const std::string& aBytes);
   /// Passes a message on to the hosts of this failure domain.
   void Relay(HostMessage aMessage);
   bool IsLive(const Peer& aPeer, MonotonicTime aNow) const
@@ -138,6 +156,11 @@
   MonotonicTime mSilentHostsSentAt;
   std::uint64_t mDropped = 0;
   std::uint64_t mRelayed = 0;
+  std::uint64_t mMergedDatagrams = 0;
+  /// Number of calls of Broadcast().
+  std::uint64_t mBroadcasts = 0;
+  MessageMerger mMerger;
+  asio::steady_timer mMergeTimer;
   FillMessage mFillMessage;
   Receive mReceive;
 };
--- a/Source/Entry/HostMessage.h
+++ b/Source/Entry/HostMessage.h
@@ -30,6 +30,11 @@
   kToRelay,
   /// From the host that passed it on.
   kRelayed,
+  /// From its sender, for the receiver to pass on within its failure domain
+  /// with other messages.
+  kToMerge,
+  /// A host's own message that only carries those of other hosts in mMerged.
+  kMerged,
 };
 
 /// \brief The content of one datagram from one host to another.
@@ -97,6 +102,11 @@
   std::vector<std::string> mIntroduced;
   /// Number of hosts that the sender hears from; 0 when not stated.
   std::uint32_t mLiveHosts = 0;
+  /// The sender understands MessagePath::kToMerge and kMerged, which hosts of
+  /// versions without this field do not.
+  bool mAcceptsMerged = false;
+  /// Packed messages of other hosts.
+  std::vector<std::string> mMerged;
 
   MSGPACK_DEFINE_ARRAY(mHost,
                        mIncarnation,
@@ -125,7 +135,9 @@
                        mParts,
                        mRequestsHosts,
                        mIntroduced,
-                       mLiveHosts)
+                       mLiveHosts,
+                       mAcceptsMerged,
+                       mMerged)
 };
 
 } // namespace ragwortdeck
--- a/Source/Entry/SiteFeed.cxx
+++ b/Source/Entry/SiteFeed.cxx
@@ -25,6 +25,9 @@
 /// Longest time between two broadcasts, which keep this host live for others.
 constexpr milliseconds kHeartbeat{ 1000 };
 constexpr milliseconds kTickInterval{ 500 };
+/// A host whose read is due later looks again after this time: its rank changes
+/// when it loses other hosts.
+constexpr Duration kLongestSleep = milliseconds(500);
 /// Time that a listed host takes to introduce a starting one to all others.
 constexpr milliseconds kIntroductionTime{ 200 };
 /// When the target list is older than this, which is two missed reads, the
@@ -166,7 +169,7 @@
     const auto now = mContext.Now();
     const auto due = mTableReads.DueAt(Rank());
     if (now < due) {
-      co_await SleepFor(mContext.mIo, due - now);
+      co_await SleepFor(mContext.mIo, std::min(due - now, kLongestSleep));
       continue;
     }
     mTableReads.Started(now);
@@ -177,7 +180,7 @@
         [](HostMessage& aMessage) { aMessage.mTableRead = true; });
       SendToContentWaiters();
     } else {
-      mTableReads.Failed(Rank(), mContext.Now());
+      mTableReads.Failed(mContext.Now());
     }
   }
 }
@@ -250,7 +253,7 @@
     const auto now = mContext.Now();
     const auto due = mListReads.DueAt(Rank());
     if (now < due) {
-      co_await SleepFor(mContext.mIo, due - now);
+      co_await SleepFor(mContext.mIo, std::min(due - now, kLongestSleep));
       continue;
     }
     mListReads.Started(now);
@@ -284,7 +287,7 @@
         MessageClass::kImportant);
       SendToContentWaiters();
     } else {
-      mListReads.Failed(Rank(), mContext.Now());
+      mListReads.Failed(mContext.Now());
     }
   }
 }
--- a/Source/Serving/FleetLoad.cxx
+++ b/Source/Serving/FleetLoad.cxx
@@ -135,9 +135,13 @@
                    MonotonicTime aNow)
 {
   auto& peer = mPeers[aPeer];
+  peer.mReceivedAt = aNow;
+  // Most messages of a large fleet report no change.
+  if (aLoads == peer.mReported && aLoads == peer.mCounted) {
+    return;
+  }
   Count(peer, aLoads);
   peer.mReported = aLoads;
-  peer.mReceivedAt = aNow;
 }
 
 void
--- a/Source/Serving/SharedReads.cxx
+++ b/Source/Serving/SharedReads.cxx
@@ -86,7 +86,14 @@
     InTenure(mLastReadAt) ? (IsReader() ? 0 : aRank + 1) : aRank;
   const auto tail =
     rank > kLeadingRanks ? std::min(rank - kLeadingRanks, kMaxTailRanks) : 0;
-  return std::max(mDeferredUntil,
+  auto notBefore = mDeferredUntil;
+  if (mHasFailed) {
+    notBefore = std::max(
+      notBefore,
+      mPausedUntil + std::min(kMaxRankPause,
+                              kRankPause * static_cast<Duration::rep>(aRank)));
+  }
+  return std::max(notBefore,
                   mLastReadAt + mTiming.mPeriod +
                     mTiming.mRankDelay * static_cast<Duration::rep>(
                                            std::min(rank, kLeadingRanks)) +
@@ -111,17 +118,17 @@
   mLastReadAt = aNow;
   mNextPause = mTiming.mInitialPause;
   mDeferredUntil = {};
+  mHasFailed = false;
 }
 
 void
-SharedReads::Failed(std::size_t aRank, MonotonicTime aNow)
+SharedReads::Failed(MonotonicTime aNow)
 {
   if (mReader == mSelf) {
     mReader.clear();
   }
-  mDeferredUntil =
-    aNow + mNextPause +
-    std::min(kMaxRankPause, kRankPause * static_cast<Duration::rep>(aRank));
+  mHasFailed = true;
+  mPausedUntil = aNow + mNextPause;
   mNextPause = std::min(mTiming.mMaxPause, mNextPause * 2);
 }
 
--- a/Source/Serving/SharedReads.h
+++ b/Source/Serving/SharedReads.h
@@ -29,7 +29,9 @@
 /// - The store refuses some hosts. The host whose read succeeded last goes
 ///   first for kReaderTenure, so that the refused hosts do not delay each read.
 /// - The store is unavailable. Hosts of later ranks pause longer after a failed
-///   read, so that a hundred hosts do not call it a hundred times a second.
+///   read, so that hundreds of hosts do not call it hundreds of times a second:
+///   the hosts of the first ranks notice its return within a second and tell
+///   the others.
 class SharedReads
 {
 public:
@@ -55,8 +57,8 @@
   /// How long a host that has become the reader goes first.
   static constexpr Duration kReaderTenure = std::chrono::seconds(4);
   /// Added to the pause after a failed read for each rank, up to kMaxRankPause.
-  static constexpr Duration kRankPause = std::chrono::milliseconds(60);
-  static constexpr Duration kMaxRankPause = std::chrono::milliseconds(2000);
+  static constexpr Duration kRankPause = std::chrono::milliseconds(150);
+  static constexpr Duration kMaxRankPause = std::chrono::milliseconds(7000);
 
   SharedReads(std::string aSelf, const Timing& aTiming)
     : mSelf(std::move(aSelf))
@@ -109,8 +111,10 @@
   void Started(MonotonicTime aNow);
   /// A result that aReader (this or another host) has read has arrived.
   void ResultArrived(const std::string& aReader, MonotonicTime aNow);
-  /// A read of this host has failed.
-  void Failed(std::size_t aRank, MonotonicTime aNow);
+  /// A read of this host has failed. The pause follows from the rank at the
+  /// time of DueAt(): a host that has lost all others meanwhile ranks first,
+  /// and must read by itself.
+  void Failed(MonotonicTime aNow);
 
 private:
   std::string mSelf;
@@ -118,6 +122,10 @@
   /// When a read of this host last started or a result last arrived.
   MonotonicTime mLastReadAt;
   MonotonicTime mDeferredUntil;
+  /// Whether a read of this host has failed since the last result, and when the
+  /// pause after it ends for the first rank.
+  bool mHasFailed = false;
+  MonotonicTime mPausedUntil;
   /// Pause after the next failed read.
   Duration mNextPause;
   /// The host whose result arrived last, and when it became the reader.
--- a/Tests/Entry/HostExchangeTest.cxx
+++ b/Tests/Entry/HostExchangeTest.cxx
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <cppunit/extensions/HelperMacros.h>
+#include <set>
 
 namespace ragwortdeck {
 
@@ -94,8 +95,14 @@
 
   void SendRaw(std::size_t aFrom, std::size_t aTo, const std::string& aBytes)
   {
-    udp::socket socket(mIo,
-                       { asio::ip::make_address(mHosts[aFrom]->mAddress), 0 });
+    SendRawFrom(mHosts[aFrom]->mAddress, aTo, aBytes);
+  }
+
+  void SendRawFrom(const std::string& aFrom,
+                   std::size_t aTo,
+                   const std::string& aBytes)
+  {
+    udp::socket socket(mIo, { asio::ip::make_address(aFrom), 0 });
     socket.send_to(asio::buffer(aBytes),
                    { asio::ip::make_address(mHosts[aTo]->mAddress), mPort });
   }
@@ -127,6 +134,8 @@
   CPPUNIT_TEST_SUITE(HostExchangeTest);
   CPPUNIT_TEST(TestBroadcast);
   CPPUNIT_TEST(TestMixedVersions);
+  CPPUNIT_TEST(TestMergedMessages);
+  CPPUNIT_TEST(TestMalformedMergedMessages);
   CPPUNIT_TEST(TestForeignDatagrams);
   CPPUNIT_TEST_SUITE_END();
 
@@ -193,6 +202,120 @@
             });
   }
 
+  void TestMergedMessages()
+  {
+    std::vector<std::string> domains(42, "a");
+    domains.insert(domains.end(), { "b", "b", "b" });
+    Fleet fleet(domains);
+    fleet.Introduce();
+    const auto countDatagrams = [&] {
+      std::uint64_t n = 0;
+      for (const auto& it : fleet.Hosts()) {
+        n += it->mExchange->MergedDatagrams();
+      }
+      return n;
+    };
+    const auto before = countDatagrams();
+    Section("forty hosts of a large domain and one of another broadcast at the "
+            "same time",
+            [&] {
+              for (std::size_t i = 0; i < 40; ++i) {
+                fleet.At(i).mExchange->Broadcast();
+              }
+              fleet.At(42).mExchange->Broadcast();
+            });
+    Section("each message reaches each other host of that domain once", [&] {
+      const auto expected = [](std::size_t aHost) {
+        return std::size_t(aHost < 40 ? 40 : 41);
+      };
+      fleet.RunUntil([&] {
+        for (std::size_t i = 0; i < 42; ++i) {
+          if (fleet.At(i).mReceived.size() < expected(i)) {
+            return false;
+          }
+        }
+        return true;
+      });
+      fleet.RunIdle();
+      for (std::size_t i = 0; i < 42; ++i) {
+        std::set<std::string> senders;
+        for (const auto& it : fleet.At(i).mReceived) {
+          senders.insert(it.mHost);
+        }
+        CPPUNIT_ASSERT_EQUAL(expected(i), senders.size());
+        CPPUNIT_ASSERT_EQUAL(expected(i), fleet.At(i).mReceived.size());
+      }
+    });
+    Section("the hosts of the small domain received them as well", [&] {
+      CPPUNIT_ASSERT_EQUAL(std::size_t(41), fleet.At(43).mReceived.size());
+    });
+    Section("in far fewer datagrams than messages", [&] {
+      const auto n = countDatagrams() - before;
+      CPPUNIT_ASSERT(n > 0);
+      CPPUNIT_ASSERT(n < 41 / 2);
+    });
+  }
+
+  void TestMalformedMergedMessages()
+  {
+    Fleet fleet({ "a", "a", "a" });
+    fleet.Introduce();
+    auto& receiver = fleet.At(1);
+    const auto messageOf = [&](std::size_t aHost) {
+      HostMessage message;
+      message.mHost = fleet.At(aHost).mAddress;
+      message.mIncarnation = 99;
+      message.mPath = static_cast<int>(MessagePath::kToMerge);
+      return message;
+    };
+    HostMessage merged;
+    merged.mHost = fleet.At(0).mAddress;
+    merged.mPath = static_cast<int>(MessagePath::kMerged);
+    const auto whole = Pack(messageOf(2));
+    Section("truncated, empty and nameless messages are dropped one by one, "
+            "the sound ones beside them are taken",
+            [&] {
+              merged.mMerged = { whole.substr(0, whole.size() / 2),
+                                 "",
+                                 Pack(HostMessage()),
+                                 std::string(60, '\x91'),
+                                 whole };
+              const auto before = receiver.mExchange->Dropped();
+              fleet.SendRaw(0, 1, Pack(merged));
+              fleet.RunUntil([&] { return !receiver.mReceived.empty(); });
+              CPPUNIT_ASSERT_EQUAL(fleet.At(2).mAddress,
+                                   receiver.mReceived.at(0).mHost);
+              CPPUNIT_ASSERT_EQUAL(before + 4, receiver.mExchange->Dropped());
+            });
+    Section("the receiver's own message comes back and is ignored", [&] {
+      receiver.mReceived.clear();
+      merged.mMerged = { Pack(messageOf(1)) };
+      fleet.SendRaw(0, 1, Pack(merged));
+      fleet.RunIdle();
+      CPPUNIT_ASSERT(receiver.mReceived.empty());
+      CPPUNIT_ASSERT(!receiver.mExchange->Peers().contains(receiver.mAddress));
+    });
+    Section("merged messages within merged messages are not unpacked", [&] {
+      HostMessage nested = messageOf(2);
+      nested.mIncarnation = 100;
+      nested.mMerged = { whole };
+      merged.mMerged = { Pack(nested) };
+      fleet.SendRaw(0, 1, Pack(merged));
+      fleet.RunUntil([&] { return !receiver.mReceived.empty(); });
+      fleet.RunIdle();
+      CPPUNIT_ASSERT_EQUAL(std::size_t(1), receiver.mReceived.size());
+    });
+    Section("merged messages from a host that is not known are dropped", [&] {
+      receiver.mReceived.clear();
+      const auto before = receiver.mExchange->Dropped();
+      merged.mHost = "127.0.3.200";
+      merged.mMerged = { whole };
+      fleet.SendRawFrom("127.0.3.200", 1, Pack(merged));
+      fleet.RunUntil([&] { return receiver.mExchange->Dropped() > before; });
+      CPPUNIT_ASSERT(receiver.mReceived.empty());
+    });
+  }
+
   void TestForeignDatagrams()
   {
     Fleet fleet({ "a", "b", "b", "b" });
--- a/Tests/Serving/FanOutTest.cxx
+++ b/Tests/Serving/FanOutTest.cxx
@@ -30,6 +30,31 @@
   return hosts;
 }
 
+/// The same, of a version that merges messages.
+std::vector<Receiver>
+MakeMergingFleet(int aHosts)
+{
+  auto hosts = MakeFleet(aHosts);
+  for (auto& it : hosts) {
+    it.mAcceptsMerged = true;
+  }
+  return hosts;
+}
+
+std::vector<Receiver>
+Without(std::vector<Receiver> aHosts, std::size_t aIndex)
+{
+  aHosts.erase(aHosts.begin() + static_cast<std::ptrdiff_t>(aIndex));
+  return aHosts;
+}
+
+/// The sender; its link is one of the slow ones.
+Receiver
+SelfIn(const std::string& aDomain)
+{
+  return { "self", aDomain, 20, milliseconds(0) };
+}
+
 /// Load reports per second of a fleet of aHosts, in which aStarts runs start a
 /// second: half of them end some 40 ms after their prefill, half after seconds.
 double
@@ -87,6 +112,8 @@
   CPPUNIT_TEST(TestLostRelays);
   CPPUNIT_TEST(TestLargeMessages);
   CPPUNIT_TEST(TestDirectReceivers);
+  CPPUNIT_TEST(TestCollectors);
+  CPPUNIT_TEST(TestLostCollector);
   CPPUNIT_TEST(TestLoadReports);
   CPPUNIT_TEST_SUITE_END();
 
@@ -102,7 +129,7 @@
         const int messages = 3000;
         for (int i = 0; i < messages; ++i) {
           const auto plan =
-            PlanFanOut("a", fleet, MessageClass::kRoutine, random);
+            PlanFanOut(SelfIn("a"), fleet, MessageClass::kRoutine, 0, random);
           Section("one copy leaves for each other domain", [&] {
             CPPUNIT_ASSERT_EQUAL(std::size_t(4), plan.mRelays.size());
             std::set<std::string> domains;
@@ -140,35 +167,36 @@
       RandomSource random(3);
       for (int i = 0; i < 500; ++i) {
         for (const auto& it :
-             PlanFanOut("a", fleet, MessageClass::kRoutine, random).mRelays) {
+             PlanFanOut(SelfIn("a"), fleet, MessageClass::kRoutine, 0, random)
+               .mRelays) {
           CPPUNIT_ASSERT(hosts.at(it).mSilentFor < milliseconds(1300));
         }
       }
     });
-    Section("all hosts of a domain were silent: one is tried all the same",
-            [&] {
-              auto fleet = MakeFleet(300);
-              for (auto& it : fleet) {
-                it.mSilentFor = milliseconds(2000);
-              }
-              RandomSource random(3);
-              CPPUNIT_ASSERT_EQUAL(
-                std::size_t(4),
-                PlanFanOut("a", fleet, MessageClass::kRoutine, random)
-                  .mRelays.size());
-            });
-    Section("a message that is not repeated takes two relays in each domain",
-            [&] {
-              const auto fleet = MakeFleet(300);
-              RandomSource random(3);
-              for (int i = 0; i < 100; ++i) {
-                const auto plan =
-                  PlanFanOut("a", fleet, MessageClass::kImportant, random);
-                CPPUNIT_ASSERT_EQUAL(
-                  std::size_t(8),
-                  std::set(plan.mRelays.begin(), plan.mRelays.end()).size());
-              }
-            });
+    Section(
+      "all hosts of a domain were silent: one is tried all the same", [&] {
+        auto fleet = MakeFleet(300);
+        for (auto& it : fleet) {
+          it.mSilentFor = milliseconds(2000);
+        }
+        RandomSource random(3);
+        CPPUNIT_ASSERT_EQUAL(
+          std::size_t(4),
+          PlanFanOut(SelfIn("a"), fleet, MessageClass::kRoutine, 0, random)
+            .mRelays.size());
+      });
+    Section(
+      "a message that is not repeated takes two relays in each domain", [&] {
+        const auto fleet = MakeFleet(300);
+        RandomSource random(3);
+        for (int i = 0; i < 100; ++i) {
+          const auto plan =
+            PlanFanOut(SelfIn("a"), fleet, MessageClass::kImportant, 0, random);
+          CPPUNIT_ASSERT_EQUAL(
+            std::size_t(8),
+            std::set(plan.mRelays.begin(), plan.mRelays.end()).size());
+        }
+      });
   }
 
   void TestLargeMessages()
@@ -179,7 +207,8 @@
       RandomSource random(5);
       for (int i = 0; i < 100; ++i) {
         for (const auto& it :
-             PlanFanOut("a", fleet, MessageClass::kLarge, random).mRelays) {
+             PlanFanOut(SelfIn("a"), fleet, MessageClass::kLarge, 0, random)
+               .mRelays) {
           CPPUNIT_ASSERT_EQUAL(200, hosts.at(it).mLinkMbps);
         }
       }
@@ -192,7 +221,8 @@
     Section("a domain of two hosts gets the message directly", [&] {
       const std::vector<Receiver> hosts = { { "x", "b", 20, milliseconds(0) },
                                             { "y", "b", 20, milliseconds(0) } };
-      const auto plan = PlanFanOut("a", hosts, MessageClass::kRoutine, random);
+      const auto plan =
+        PlanFanOut(SelfIn("a"), hosts, MessageClass::kRoutine, 0, random);
       CPPUNIT_ASSERT_EQUAL(std::size_t(2), plan.mDirect.size());
       CPPUNIT_ASSERT(plan.mRelays.empty());
     });
@@ -203,16 +233,143 @@
       }
       CPPUNIT_ASSERT_EQUAL(
         std::size_t(30),
-        PlanFanOut("a", fleet, MessageClass::kRoutine, random).mDirect.size());
+        PlanFanOut(SelfIn("a"), fleet, MessageClass::kRoutine, 0, random)
+          .mDirect.size());
     });
     Section("a host without a domain of its own sends to all", [&] {
       CPPUNIT_ASSERT_EQUAL(
         std::size_t(30),
-        PlanFanOut("", MakeFleet(30), MessageClass::kRoutine, random)
+        PlanFanOut(SelfIn(""), MakeFleet(30), MessageClass::kRoutine, 0, random)
           .mDirect.size());
     });
   }
 
+  void TestCollectors()
+  {
+    RandomSource random(5);
+    Section("295 hosts report their loads in turn", [&] {
+      const auto fleet = MakeMergingFleet(295);
+      std::map<std::string, std::set<std::string>> collectors;
+      for (std::size_t sender = 0; sender < fleet.size(); ++sender) {
+        for (std::uint64_t turn = 0; turn < 6; ++turn) {
+          const auto plan = PlanFanOut(fleet[sender],
+                                       Without(fleet, sender),
+                                       MessageClass::kRoutine,
+                                       turn,
+                                       random);
+          Section("each domain gets one copy, also the sender's own", [&] {
+            CPPUNIT_ASSERT(plan.mDirect.empty());
+            CPPUNIT_ASSERT(plan.mRelays.empty());
+            CPPUNIT_ASSERT_EQUAL(std::size_t(5),
+                                 plan.mCollectors.size() +
+                                   (plan.mCollectsOwn ? 1 : 0));
+          });
+          const auto hosts = ByName(fleet);
+          for (const auto& it : plan.mCollectors) {
+            collectors[hosts.at(it).mFailureDomain].insert(it);
+          }
+        }
+      }
+      Section("three hosts with fast links collect for each domain", [&] {
+        const auto hosts = ByName(fleet);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(5), collectors.size());
+        for (const auto& [domain, names] : collectors) {
+          CPPUNIT_ASSERT_EQUAL(std::size_t(3), names.size());
+          for (const auto& it : names) {
+            CPPUNIT_ASSERT_EQUAL(200, hosts.at(it).mLinkMbps);
+          }
+        }
+      });
+    });
+    Section("only important and large messages are passed on at once", [&] {
+      const auto fleet = MakeMergingFleet(295);
+      for (const auto type :
+           { MessageClass::kImportant, MessageClass::kLarge }) {
+        const auto plan =
+          PlanFanOut(fleet[20], Without(fleet, 20), type, 0, random);
+        CPPUNIT_ASSERT(plan.mCollectors.empty());
+        CPPUNIT_ASSERT(!plan.mCollectsOwn);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(8), plan.mRelays.size());
+      }
+    });
+    Section("where all links are slow, more hosts share the work", [&] {
+      auto fleet = MakeMergingFleet(295);
+      for (auto& it : fleet) {
+        it.mLinkMbps = 10;
+      }
+      std::set<std::string> collectors;
+      for (std::uint64_t turn = 0; turn < 100; ++turn) {
+        const auto plan =
+          PlanFanOut(SelfIn("a"), fleet, MessageClass::kRoutine, turn, random);
+        collectors.insert(plan.mCollectors.begin(), plan.mCollectors.end());
+      }
+      CPPUNIT_ASSERT_EQUAL(std::size_t(5) * 11, collectors.size());
+    });
+    Section("hosts of an older version receive the messages themselves", [&] {
+      auto fleet = MakeMergingFleet(295);
+      std::set<std::string> old;
+      for (std::size_t i = 0; i < 40; ++i) {
+        fleet[i].mAcceptsMerged = false;
+        old.insert(fleet[i].mName);
+      }
+      const auto plan =
+        PlanFanOut(SelfIn("a"), fleet, MessageClass::kRoutine, 0, random);
+      CPPUNIT_ASSERT(old == std::set(plan.mDirect.begin(), plan.mDirect.end()));
+      CPPUNIT_ASSERT_EQUAL(std::size_t(5), plan.mCollectors.size());
+    });
+    Section("domains of 37 hosts do not merge", [&] {
+      const auto fleet = MakeMergingFleet(185);
+      const auto plan =
+        PlanFanOut(SelfIn("a"), fleet, MessageClass::kRoutine, 0, random);
+      CPPUNIT_ASSERT(plan.mCollectors.empty());
+      CPPUNIT_ASSERT_EQUAL(std::size_t(37), plan.mDirect.size());
+    });
+  }
+
+  void TestLostCollector()
+  {
+    RandomSource random(5);
+    const auto collectorOf = [&](const std::vector<Receiver>& aFleet,
+                                 std::uint64_t aTurn) {
+      const auto hosts = ByName(aFleet);
+      const auto plan =
+        PlanFanOut(SelfIn("a"), aFleet, MessageClass::kRoutine, aTurn, random);
+      return *std::find_if(plan.mCollectors.begin(),
+                           plan.mCollectors.end(),
+                           [&](const std::string& aName) {
+                             return hosts.at(aName).mFailureDomain == "b";
+                           });
+    };
+    const auto fleet = MakeMergingFleet(295);
+    Section("a collector that is lost, or that a sender cannot reach, never "
+            "costs two successive messages",
+            [&] {
+              for (std::uint64_t turn = 0; turn < 30; ++turn) {
+                CPPUNIT_ASSERT(collectorOf(fleet, turn) !=
+                               collectorOf(fleet, turn + 1));
+              }
+            });
+    Section("one that was silent is not chosen", [&] {
+      auto changed = fleet;
+      const auto lost = collectorOf(fleet, 0);
+      for (auto& it : changed) {
+        if (it.mName == lost) {
+          it.mSilentFor = milliseconds(1500);
+        }
+      }
+      for (std::uint64_t turn = 0; turn < 30; ++turn) {
+        CPPUNIT_ASSERT(collectorOf(changed, turn) != lost);
+      }
+    });
+    Section("if all were silent, they are tried all the same", [&] {
+      auto changed = fleet;
+      for (auto& it : changed) {
+        it.mSilentFor = milliseconds(2000);
+      }
+      CPPUNIT_ASSERT(!collectorOf(changed, 0).empty());
+    });
+  }
+
   void TestLoadReports()
   {
     const auto delayOf = [](int aHosts) {
--- a/Tests/Serving/PlacementTest.cxx
+++ b/Tests/Serving/PlacementTest.cxx
@@ -54,6 +54,19 @@
   return server;
 }
 
+/// Number of reads that a host tries while the store is unavailable for 8 s.
+int
+CountAttempts(const SharedReads::Timing& aTiming, std::size_t aRank)
+{
+  SharedReads reads(std::to_string(aRank), aTiming);
+  int attempts = 0;
+  while (reads.DueAt(aRank) < At(8000)) {
+    ++attempts;
+    reads.Failed(std::max(At(0), reads.DueAt(aRank)));
+  }
+  return attempts;
+}
+
 } // namespace
 
 /// \brief Tests where requests go, how they wait, and which are rejected.
@@ -499,7 +512,7 @@
     Section("an unavailable store is read less often, down to a limit", [&] {
       SharedReads reads("self", timing);
       for (int n = 0; n < 8; ++n) {
-        reads.Failed(0, At(2000));
+        reads.Failed(At(2000));
       }
       CPPUNIT_ASSERT(reads.DueAt(0) == At(2800));
       reads.ResultArrived("self", At(2900));
@@ -540,13 +553,7 @@
             "as often as if each had rank 0",
             [&] {
               const auto readsOf = [&](std::size_t aRank) {
-                SharedReads reads(std::to_string(aRank), timing);
-                int attempts = 0;
-                while (reads.DueAt(aRank) < At(8000)) {
-                  ++attempts;
-                  reads.Failed(aRank, std::max(At(0), reads.DueAt(aRank)));
-                }
-                return attempts;
+                return CountAttempts(timing, aRank);
               };
               int all = 0;
               for (std::size_t rank = 0; rank < 135; ++rank) {
@@ -555,6 +562,26 @@
               CPPUNIT_ASSERT(readsOf(0) > 8);
               CPPUNIT_ASSERT(all * 2 < readsOf(0) * 135);
             });
+    Section("295 hosts read it at most twice each: of those that tell the "
+            "others of its return, each still reads once a second",
+            [&] {
+              int all = 0;
+              for (std::size_t rank = 0; rank < 295; ++rank) {
+                all += CountAttempts(timing, rank);
+              }
+              CPPUNIT_ASSERT(all <= 2 * 295);
+              for (std::size_t rank = 0; rank < 3; ++rank) {
+                CPPUNIT_ASSERT(CountAttempts(timing, rank) >= 8);
+              }
+            });
+    Section("a host of a late rank that has lost all others after a failed "
+            "read does not wait any longer than the first one",
+            [&] {
+              SharedReads reads("alone", timing);
+              reads.Failed(At(1000));
+              CPPUNIT_ASSERT(reads.DueAt(200) > At(6000));
+              CPPUNIT_ASSERT(reads.DueAt(0) <= At(1150));
+            });
     Section("hosts that the store rejects do not delay the reads of the others",
             [&] {
               SharedReads reads("fourth", timing);
