Filters: Do not report a request as not run while an engine has it

Cause: a generation counted as possibly run only after its connection broke or its first token came. At the deadline before the first token, after an error that the engine reported, after a gap in the event numbers, and when a second engine rejected what the first one had broken off, the caller was told "not run".

Test: StreamRelayTest::TestSentRequestsMayHaveRun, which failed first (at the deadline). Change: an attempt may have run from its opening on, unless the engine proves otherwise. The interface and the statuses stay.

--- a/Source/Filters/StreamRelay.cxx
+++ b/Source/Filters/StreamRelay.cxx
@@ -75,6 +75,14 @@
   Open(true);
 }
 
+void
+StreamRelay::OnAttemptNotRun()
+{
+  if (mIsNewOpen && !mIsBound) {
+    mMayHaveRun = mMayHaveRunBefore;
+  }
+}
+
 void
 StreamRelay::Resume(const Attempt& aAttempt,
                     std::optional<std::int64_t> aStartingAfter)
@@ -93,6 +101,11 @@
   mPhase = Phase::kReading;
   mMayExist = true;
   mIsNewOpen = aIsNew;
+  if (aIsNew) {
+    mMayHaveRunBefore = mMayHaveRun;
+    // Until the engine proves otherwise.
+    mMayHaveRun = true;
+  }
   Touch(mIsBound ? mLimits.mStall : mFirstToken);
   std::optional<std::int64_t> after;
   if (!aIsNew && mNext > 0) {
@@ -156,7 +169,6 @@
 StreamRelay::Bind()
 {
   mIsBound = true;
-  mMayHaveRun = true;
   const auto held = std::exchange(mHeld, {});
   mHeldBytes = 0;
   for (const auto& event : held) {
@@ -173,6 +185,7 @@
   switch (aEnd.mKind) {
     case StreamEndKind::kRefused:
       mMayExist = mIsBound;
+      OnAttemptNotRun();
       mIsBound ? Lose("the engine refuses connections")
                : Replace(DispatchOutcome::kTargetFailed,
                          "the engine refuses connections");
@@ -182,6 +195,7 @@
         ScheduleResume();
       } else {
         mMayExist = !mIsNewOpen;
+        OnAttemptNotRun();
         Replace(DispatchOutcome::kTargetFailed, "no connection to the engine");
       }
       return;
@@ -189,7 +203,6 @@
       break;
     case StreamEndKind::kEnded:
     case StreamEndKind::kDropped:
-      mMayHaveRun = true;
       OnInterrupted("the connection to the engine broke");
       return;
   }
@@ -209,16 +222,18 @@
   }
   mMayExist = false;
   if (IsCallersFault(aEnd.mStatus)) {
+    OnAttemptNotRun();
     End(RelayEndKind::kFailed,
-        { RunState::kNotRun,
+        { mMayHaveRun ? RunState::kMayHaveRun : RunState::kNotRun,
           kStatusBadRequest,
           "engine_rejected_request",
           "The engine rejected the request: " + aEnd.mMessage,
           std::chrono::milliseconds(0) });
     return;
   }
-  if (!ProvesNotRun(aEnd.mStatus)) {
-    mMayHaveRun = true;
+  if (ProvesNotRun(aEnd.mStatus)) {
+    OnAttemptNotRun();
+  } else {
     // A conflict means that the id exists, so there is something to cancel.
     mMayExist = aEnd.mStatus == kStatusConflict;
   }
@@ -385,7 +400,7 @@
     mHooks.mClose();
     CancelGeneration();
     End(RelayEndKind::kDeadlineExceeded,
-        { mMayHaveRun || mIsBound ? RunState::kMayHaveRun : RunState::kNotRun,
+        { mMayHaveRun ? RunState::kMayHaveRun : RunState::kNotRun,
           kStatusTimeout,
           "deadline_exceeded",
           "The answer is not complete within the deadline of its kind.",
@@ -406,7 +421,6 @@
 void
 StreamRelay::OnPhaseTimeout()
 {
-  mMayHaveRun = true;
   if (mIsBound) {
     ScheduleResume();
     return;
--- a/Source/Filters/StreamRelay.h
+++ b/Source/Filters/StreamRelay.h
@@ -131,6 +131,8 @@
   };
 
   void Open(bool aIsNew);
+  /// The engine proved that the attempt that was just opened did not run.
+  void OnAttemptNotRun();
   void Bind();
   void OnInterrupted(const std::string& aReason);
   void ScheduleResume();
@@ -155,8 +157,11 @@
   bool mMayExist = false;
   /// Set when the open connection was to create the generation.
   bool mIsNewOpen = false;
-  /// Set when an attempt may have had an effect on an engine.
+  /// Set when an attempt may have had an effect on an engine: from its opening
+  /// on, unless the engine proves that it did not run.
   bool mMayHaveRun = false;
+  /// The same for the attempts before the current one.
+  bool mMayHaveRunBefore = false;
   bool mIsPaused = false;
   /// Sequence number of the next event in order.
   std::int64_t mNext = 0;
--- a/Tests/Filters/StreamRelayTest.cxx
+++ b/Tests/Filters/StreamRelayTest.cxx
@@ -125,6 +125,7 @@
   CPPUNIT_TEST(TestReplaceBeforeFirstToken);
   CPPUNIT_TEST(TestNeverReplacedAfterFirstToken);
   CPPUNIT_TEST(TestVerdictsBeforeFirstToken);
+  CPPUNIT_TEST(TestSentRequestsMayHaveRun);
   CPPUNIT_TEST(TestCallerGone);
   CPPUNIT_TEST(TestSlowCallerIsNoStall);
   CPPUNIT_TEST(TestDeadline);
@@ -284,6 +285,58 @@
     });
   }
 
+  /// Guards against "not run" for a request that an engine has, or had, while
+  /// it is given up for another reason than the engine's refusal.
+  void TestSentRequestsMayHaveRun()
+  {
+    Section("the deadline passes before the first token", [] {
+      Bench bench;
+      bench.mRelay.Start(kFirst, std::chrono::seconds(100));
+      bench.mScheduler.Advance(std::chrono::seconds(60));
+      CPPUNIT_ASSERT(RunState::kMayHaveRun == bench.mEnd->mVerdict.mState);
+    });
+    Section("the engine reports an error after it has begun", [] {
+      Bench bench;
+      bench.mMayReplace = false;
+      bench.mRelay.Start(kFirst, kFirstToken);
+      bench.Preamble();
+      bench.mRelay.OnEvent(MakeEvent(2, EngineEventKind::kFailed));
+      CPPUNIT_ASSERT(RunState::kMayHaveRun == bench.mEnd->mVerdict.mState);
+    });
+    Section("an event is missing, and the engine cannot be reached again", [] {
+      Bench bench;
+      bench.mMayReplace = false;
+      bench.mRelay.Start(kFirst, kFirstToken);
+      bench.Preamble();
+      bench.Token(5);
+      for (int n = 0; n < 20 && !bench.mEnd; ++n) {
+        bench.mScheduler.Advance(std::chrono::seconds(1));
+        bench.mRelay.OnStreamEnd({ StreamEndKind::kRefused, 0, "" });
+      }
+      CPPUNIT_ASSERT(RunState::kMayHaveRun == bench.mEnd->mVerdict.mState);
+    });
+    Section("another engine rejects the request as the caller's fault after "
+            "the first one broke off",
+            [] {
+              Bench bench;
+              bench.mRelay.Start(kFirst, kFirstToken);
+              bench.mRelay.OnStreamEnd({ StreamEndKind::kDropped, 0, "" });
+              bench.mRelay.Start(kSecond, kFirstToken);
+              bench.mRelay.OnStreamEnd({ StreamEndKind::kRejected, 400, "" });
+              CPPUNIT_ASSERT(RunState::kMayHaveRun ==
+                             bench.mEnd->mVerdict.mState);
+            });
+    Section("the deadline passes while a request that no engine took waits",
+            [] {
+              Bench bench;
+              bench.mRelay.Start(kFirst, kFirstToken);
+              bench.mRelay.OnStreamEnd({ StreamEndKind::kRejected, 503, "" });
+              bench.mScheduler.Advance(std::chrono::seconds(60));
+              CPPUNIT_ASSERT(RunState::kNotRun ==
+                             bench.mEnd->mVerdict.mState);
+            });
+  }
+
   /// Guards against generations that run on for a caller that has left.
   void TestCallerGone()
   {
