Targets: Use a new connection for each call whose answer matters

Cause: the router's calls to targets shared libcurl's pool of connections, except actions. (1) A target that sends a late copy of an earlier answer on such a connection sends it where the next answer is expected, and the next caller gets it: nothing in an answer tells them apart. (2) libcurl repeats a request by itself when a used connection breaks, also a POST that the engine has read, so a generation could run twice outside all counts of attempts.

Tests: CurlMultiTest::TestLateSecondCopy ("1" instead of "2") and TestNoHiddenRepeats (5 requests instead of 3) failed first.

Ruled out: telling answers apart by X-Request-Id or the response's id; targets need not return the first, and may choose the second.

Change: a call gets its own connection unless it says that a stale answer does no harm; the load reports of one target do. Price: one handshake for each stream and look-up, not measured apart.

--- a/Source/Filters/LoadPoller.cxx
+++ b/Source/Filters/LoadPoller.cxx
@@ -57,6 +57,7 @@
   call.mUrl = "http://" + aTarget.mAddress + "/load";
   call.mTimeout = mPeriod;
   call.mConnectTimeout = mPeriod;
+  call.mMayReuseConnection = true;
   const auto reply = std::make_shared<std::string>();
   const auto id = aTarget.mId;
   const auto sent = std::chrono::steady_clock::now();
--- a/Source/Filters/ServiceTransport.cxx
+++ b/Source/Filters/ServiceTransport.cxx
@@ -113,8 +113,6 @@
   }
   request.mConnectTimeout = mConnectTimeout;
   request.mTimeout = mTimeout;
-  // libcurl may repeat a request on a reused connection.
-  request.mFreshConnection = true;
   const auto call = mCalls.emplace(mCalls.end());
   call->mTransfer = mCurl.Start(
     request,
--- a/Source/Targets/CurlMulti.cxx
+++ b/Source/Targets/CurlMulti.cxx
@@ -174,8 +174,9 @@
   curl_easy_setopt(
     easy, CURLOPT_CONNECTTIMEOUT_MS, long(aCall.mConnectTimeout.count()));
   curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS, long(aCall.mTimeout.count()));
-  curl_easy_setopt(
-    easy, CURLOPT_FRESH_CONNECT, aCall.mFreshConnection ? 1L : 0L);
+  const long isSingleUse = aCall.mMayReuseConnection ? 0L : 1L;
+  curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT, isSingleUse);
+  curl_easy_setopt(easy, CURLOPT_FORBID_REUSE, isSingleUse);
   if (mInsideCurl) {
     mToAdd.push_back(state);
   } else {
--- a/Source/Targets/CurlMulti.h
+++ b/Source/Targets/CurlMulti.h
@@ -27,10 +27,11 @@
   std::chrono::milliseconds mConnectTimeout{ 1000 };
   /// Limit for the whole call; zero means none.
   std::chrono::milliseconds mTimeout{ 0 };
-  /// Uses a new connection. libcurl repeats a request by itself when a reused
-  /// connection turns out to be closed, so a call that must not be repeated
-  /// needs a new one.
-  bool mFreshConnection = false;
+  /// Allows a connection that served another call, only where a stale answer or
+  /// a second request does no harm. A target may send a late copy of an earlier
+  /// answer, which nothing tells from the next one; and libcurl by itself
+  /// repeats a request when a used connection breaks.
+  bool mMayReuseConnection = false;
 };
 
 /// How an HTTP call ended.
--- /dev/null
+++ b/Tests/Targets/CurlMultiTest.cxx
@@ -0,0 +1,135 @@
+#include "Targets/CurlMulti.h"
+#include "Support/EventLoop.h"
+#include "Support/Section.h"
+
+#include <QTcpServer>
+#include <QTcpSocket>
+#include <cppunit/extensions/HelperMacros.h>
+
+namespace ragwortdeck {
+
+namespace {
+
+QByteArray
+Http(const QByteArray& aBody)
+{
+  return "HTTP/1.1 200 OK\r\nContent-Length: " +
+         QByteArray::number(aBody.size()) + "\r\n\r\n" + aBody;
+}
+
+/// \brief A target that keeps connections open and answers each request with
+/// its number.
+class Server
+{
+public:
+  Server()
+  {
+    CPPUNIT_ASSERT(mServer.listen(QHostAddress::LocalHost));
+    QObject::connect(&mServer, &QTcpServer::newConnection, [this] {
+      auto* socket = mServer.nextPendingConnection();
+      ++mConnections;
+      QObject::connect(
+        socket,
+        &QTcpSocket::readyRead,
+        [this, socket, previous = QByteArray()]() mutable {
+          socket->readAll();
+          ++mRequests;
+          if (mClosesUsedConnections && !previous.isEmpty()) {
+            socket->abort();
+            return;
+          }
+          const auto answer = Http(QByteArray::number(mRequests));
+          // The late copy arrives where the next answer is expected.
+          socket->write(mRepeatsAnswers ? previous + answer : answer);
+          previous = answer;
+        });
+    });
+  }
+
+  std::string Url() const
+  {
+    return "http://127.0.0.1:" + std::to_string(mServer.serverPort()) + "/";
+  }
+
+  bool mRepeatsAnswers = false;
+  bool mClosesUsedConnections = false;
+  int mConnections = 0;
+  int mRequests = 0;
+
+private:
+  QTcpServer mServer;
+};
+
+struct Answer
+{
+  TransferEnd mEnd;
+  std::string mBody;
+};
+
+Answer
+Send(CurlMulti& aCurl, const HttpCall& aCall)
+{
+  Answer answer;
+  bool isOver = false;
+  const auto transfer = aCurl.Start(
+    aCall,
+    [&](std::string_view aBytes) { answer.mBody += aBytes; },
+    [&](const TransferEnd& aEnd) {
+      answer.mEnd = aEnd;
+      isOver = true;
+    });
+  RunEventLoopUntil([&] { return isOver; });
+  return answer;
+}
+
+HttpCall
+PostTo(const Server& aServer)
+{
+  HttpCall call;
+  call.mMethod = "POST";
+  call.mUrl = aServer.Url();
+  call.mBody = "{}";
+  return call;
+}
+
+} // namespace
+
+/// \brief Tests calls to targets that misuse their connections.
+class CurlMultiTest : public CppUnit::TestFixture
+{
+  CPPUNIT_TEST_SUITE(CurlMultiTest);
+  CPPUNIT_TEST(TestLateSecondCopy);
+  CPPUNIT_TEST(TestNoHiddenRepeats);
+  CPPUNIT_TEST_SUITE_END();
+
+public:
+  /// Guards against a copy of an earlier answer that reaches the next caller:
+  /// answers on this interface carry nothing that tells them apart.
+  void TestLateSecondCopy()
+  {
+    CurlMulti curl;
+    Server server;
+    server.mRepeatsAnswers = true;
+    for (const auto* expected : { "1", "2", "3" }) {
+      CPPUNIT_ASSERT_EQUAL(std::string(expected),
+                           Send(curl, PostTo(server)).mBody);
+    }
+  }
+
+  /// Guards against libcurl's own repetition of a request on a new connection
+  /// when a used one breaks: the target may have run it.
+  void TestNoHiddenRepeats()
+  {
+    CurlMulti curl;
+    Server server;
+    server.mClosesUsedConnections = true;
+    for (int i = 0; i < 3; ++i) {
+      Send(curl, PostTo(server));
+    }
+    CPPUNIT_ASSERT_EQUAL(3, server.mRequests);
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(CurlMultiTest);
+
+} // namespace ragwortdeck
