Platform: Reject replies that belong to another transaction

Cause: a reply of the key-value service with fewer ranges than its transaction asked for was passed on, and ActionExecutor, LeaderLease and RecordRepair read the first range with at(0): std::out_of_range inside a Qt callback ends the whole process, router or control.

Test: HttpKeyValueStoreTest::TestReplyToAnotherTransaction, which failed first. Change: HttpKeyValueStore compares the number of responses with the operations that ran; another number is a malformed reply with unknown effect, as any other unreadable reply.

--- a/Source/Platform/HttpKeyValueStore.cxx
+++ b/Source/Platform/HttpKeyValueStore.cxx
@@ -468,11 +468,12 @@
 HttpKeyValueStore::Send(const char* aPath,
                         QByteArray aBody,
                         bool aRepeatable,
-                        Result<T> (*aParse)(const QByteArray&),
+                        std::function<Result<T>(const QByteArray&)> aParse,
                         KeyValueCallback<T> aCallback)
 {
-  const auto done = [aParse, aCallback = std::move(aCallback), aPath](
-                      const KeyValueResult<QByteArray>& aReply) {
+  const auto done = [aParse = std::move(aParse),
+                     aCallback = std::move(aCallback),
+                     aPath](const KeyValueResult<QByteArray>& aReply) {
     if (!aReply) {
       kLog.Debug(std::string(aPath) + ": " + aReply.error().mMessage);
       aCallback(Failure(aReply.error()));
@@ -521,10 +522,27 @@
 HttpKeyValueStore::Commit(const KeyTransaction& aTransaction,
                           KeyValueCallback<KeyTransactionReply> aCallback)
 {
+  // The callers read the ranges by the place of their operation.
+  const auto parse = [succeeds = aTransaction.mThen.size(),
+                      fails = aTransaction.mElse.size()](
+                       const QByteArray& aBody) -> Result<KeyTransactionReply> {
+    auto reply = EtcdJson::ParseTransaction(aBody);
+    if (!reply) {
+      return reply;
+    }
+    const auto expected = reply.value().mSucceeded ? succeeds : fails;
+    const auto n = reply.value().mRanges.size();
+    if (n != expected) {
+      return Failure(ErrorCode::kCorrupt,
+                     std::to_string(n) + " responses instead of " +
+                       std::to_string(expected));
+    }
+    return reply;
+  };
   Send<KeyTransactionReply>("/v3/kv/txn",
                             EtcdJson::TransactionRequest(aTransaction),
                             false,
-                            &EtcdJson::ParseTransaction,
+                            parse,
                             std::move(aCallback));
 }
 
--- a/Source/Platform/HttpKeyValueStore.h
+++ b/Source/Platform/HttpKeyValueStore.h
@@ -65,7 +65,7 @@
   void Send(const char* aPath,
             QByteArray aBody,
             bool aRepeatable,
-            Result<T> (*aParse)(const QByteArray&),
+            std::function<Result<T>(const QByteArray&)> aParse,
             KeyValueCallback<T> aCallback);
 
   std::shared_ptr<Shared> mShared;
--- a/Tests/Platform/HttpKeyValueStoreTest.cxx
+++ b/Tests/Platform/HttpKeyValueStoreTest.cxx
@@ -42,6 +42,28 @@
   int mBodies = 0;
 };
 
+/// \brief Answers every request with the same body.
+class FixedServer : public QTcpServer
+{
+public:
+  explicit FixedServer(const QByteArray& aBody)
+  {
+    CPPUNIT_ASSERT(listen(QHostAddress::LocalHost));
+    QObject::connect(this, &QTcpServer::newConnection, this, [this, aBody] {
+      auto* socket = nextPendingConnection();
+      QObject::connect(socket, &QTcpSocket::readyRead, socket, [socket, aBody] {
+        socket->readAll();
+        socket->write("HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n"
+                      "Connection: close\r\nContent-Length: " +
+                      QByteArray::number(aBody.size()) + "\r\n\r\n" + aBody);
+        socket->disconnectFromHost();
+      });
+      QObject::connect(
+        socket, &QTcpSocket::disconnected, socket, &QObject::deleteLater);
+    });
+  }
+};
+
 } // namespace
 
 /// \brief The HTTP adapter against the stand-in gateway: every failure is
@@ -60,6 +82,7 @@
   CPPUNIT_TEST(TestWatch);
   CPPUNIT_TEST(TestStalledWatchIsRenewed);
   CPPUNIT_TEST(TestWatchErrors);
+  CPPUNIT_TEST(TestReplyToAnotherTransaction);
   CPPUNIT_TEST(TestFuzzedReplies);
   CPPUNIT_TEST_SUITE_END();
 
@@ -304,6 +327,37 @@
     });
   }
 
+  void TestReplyToAnotherTransaction()
+  {
+    // Guards against a process that ends because a reply lacks the ranges that
+    // its transaction asked for: the controllers read them by their place.
+    const KeyTransaction create{
+      { { "k", KeyCompare::Field::kCreateRevision, 0 } },
+      { KeyOperation::Put("k", "v") },
+      { KeyOperation::Range("k") }
+    };
+    for (const auto* body :
+         { R"({"header":{"revision":"9"},"succeeded":false})",
+           R"({"header":{"revision":"9"},"succeeded":false,"responses":[]})",
+           R"({"header":{"revision":"9"},"succeeded":true,"responses":[]})",
+           R"({"header":{"revision":"9"},"succeeded":false,"responses":[)"
+           R"({"response_range":{}},{"response_range":{}}]})" }) {
+      FixedServer server(body);
+      mStore = MakeStore({ { "127.0.0.1", server.serverPort() } });
+      const auto reply = Commit(create);
+      CPPUNIT_ASSERT(!reply);
+      CPPUNIT_ASSERT(reply.error().mEffect == KeyValueError::Effect::kUnknown);
+    }
+    Section("a reply of the right shape is taken", [&] {
+      FixedServer server(R"({"header":{"revision":"9"},"responses":[)"
+                         R"({"response_range":{}}]})");
+      mStore = MakeStore({ { "127.0.0.1", server.serverPort() } });
+      const auto reply = Commit(create);
+      CPPUNIT_ASSERT(reply.has_value());
+      CPPUNIT_ASSERT(!reply.value().mSucceeded);
+    });
+  }
+
   void TestFuzzedReplies()
   {
     // Guards against a crash and against a malformed reply that is taken for
