--- a/Utilities/CMake/RagwortTargets.cmake
+++ b/Utilities/CMake/RagwortTargets.cmake
@@ -6,6 +6,8 @@
     target_precompile_headers(${aTarget} PRIVATE
       <algorithm> <chrono> <functional> <map> <memory> <optional> <string>
       <variant> <vector> <msgpack.hpp> <QJsonDocument> <QJsonObject> <QObject>)
+    # ccache must see that the precompiled header is used.
+    target_compile_options(${aTarget} PRIVATE -fpch-preprocess)
   endif()
 endfunction()
 
