Core: Let an unexpected error end one message, not the process

Cause: in the router and control processes an exception of a handler passed through Qt's event loop or libcurl and ended the process.

Change: RunGuarded() runs timers, received peer messages, replies and watches of the key-value service, hooks of libcurl and requests of callers. The error is logged with its place and counted (ragwort_unexpected_errors_total). A peer connection is closed, a watch is begun anew, a call counts as dropped, a caller's connection closes without an answer: nothing is claimed about work that may have run. The entry process has had this for its own loops.

--- a/Source/Core/QtScheduler.cxx
+++ b/Source/Core/QtScheduler.cxx
@@ -1,6 +1,7 @@
 #include "Core/QtScheduler.h"
 
 #include "Core/BootClock.h"
+#include "Core/ErrorGuard.h"
 
 #include <QTimer>
 
@@ -8,6 +9,8 @@
 
 namespace {
 
+const Log kLog("timer");
+
 std::chrono::milliseconds
 RoundUp(Duration aDelay)
 {
@@ -36,7 +39,7 @@
   std::weak_ptr<std::function<void()>> weak = task;
   QTimer::singleShot(RoundUp(aDelay), &mContext, [weak] {
     if (auto task = weak.lock()) {
-      (*task)();
+      RunGuarded(kLog, "a timer", *task);
     }
   });
   return TimerHandle(task);
@@ -45,7 +48,9 @@
 void
 QtScheduler::Post(Duration aDelay, std::function<void()> aTask)
 {
-  QTimer::singleShot(RoundUp(aDelay), &mContext, std::move(aTask));
+  QTimer::singleShot(RoundUp(aDelay), &mContext, [task = std::move(aTask)] {
+    RunGuarded(kLog, "a timer", task);
+  });
 }
 
 } // namespace ragwortdeck
--- a/Source/Filters/RouterMetrics.cxx
+++ b/Source/Filters/RouterMetrics.cxx
@@ -1,5 +1,7 @@
 #include "Filters/RouterMetrics.h"
 
+#include "Core/ErrorGuard.h"
+
 #include <array>
 #include <sstream>
 
@@ -103,7 +105,10 @@
          "# TYPE ragwort_stall_seconds_total counter\n"
          "# TYPE ragwort_resumes_total counter\n"
          "# TYPE ragwort_cancels_total counter\n"
-         "# TYPE ragwort_open_streams gauge\n";
+         "# TYPE ragwort_open_streams gauge\n"
+         "# TYPE ragwort_unexpected_errors_total counter\n"
+         "ragwort_unexpected_errors_total " +
+         std::to_string(CaughtErrors()) + "\n";
 }
 
 std::string
--- a/Source/Filters/RouterThread.cxx
+++ b/Source/Filters/RouterThread.cxx
@@ -1,10 +1,13 @@
 #include "Filters/RouterThread.h"
 
+#include "Core/ErrorGuard.h"
 #include "Targets/EngineStream.h"
 
 #include <QEventLoop>
+#include <QPointer>
 #include <QSemaphore>
 #include <QTcpServer>
+#include <QTcpSocket>
 #include <list>
 #include <map>
 
@@ -12,6 +15,8 @@
 
 namespace {
 
+const Log kLog("router");
+
 constexpr std::chrono::milliseconds kCancelTimeout{ 2'000 };
 
 CancelReply
@@ -46,7 +51,13 @@
     mConnections.SetHttpServer(mHttp);
     mHttp.setMissingHandler([this](const QHttpServerRequest& aRequest,
                                    QHttpServerResponder&& aResponder) {
-      mPath.Handle(aRequest, *aResponder.socket());
+      const QPointer<QTcpSocket> socket(aResponder.socket());
+      const bool isHandled =
+        RunGuarded(kLog, "a request", [&] { mPath.Handle(aRequest, *socket); });
+      if (!isHandled && socket) {
+        // Nothing is known about the request, so nothing is claimed.
+        socket->abort();
+      }
     });
     auto server = MakeCallerServer(mConnections, aThread.mTls);
     server->setSocketDescriptor(aThread.mListenSocket);
--- a/Source/Peer/PeerConnection.cxx
+++ b/Source/Peer/PeerConnection.cxx
@@ -1,5 +1,6 @@
 #include "Peer/PeerConnection.h"
 
+#include "Core/ErrorGuard.h"
 #include "Core/Log.h"
 #include "Core/TlsFiles.h"
 
@@ -135,8 +136,10 @@
     mLastReceived = mScheduler.Now();
     mUnansweredSince.reset();
     mAsked = false;
-    const auto taken =
-      mSession.Receive(bytes.constData(), std::size_t(bytes.size()));
+    Result<void> taken = Failure(ErrorCode::kCorrupt, "unexpected error");
+    RunGuarded(sLog, "a message", [&] {
+      taken = mSession.Receive(bytes.constData(), std::size_t(bytes.size()));
+    });
     if (!taken) {
       sLog.Warning("connection with " +
                    mSocket->peerAddress().toString().toStdString() +
--- a/Source/Platform/HttpKeyValueStore.cxx
+++ b/Source/Platform/HttpKeyValueStore.cxx
@@ -1,5 +1,6 @@
 #include "Platform/HttpKeyValueStore.h"
 
+#include "Core/ErrorGuard.h"
 #include "Core/Log.h"
 #include "Platform/EtcdJson.h"
 #include "Platform/OneShotBody.h"
@@ -393,7 +394,13 @@
       }
       mNextRevision = batch.mRevision + 1;
       const auto onBatch = mOnBatch;
-      onBatch(batch);
+      if (!RunGuarded(kLog, "a watch", [&] { onBatch(batch); })) {
+        // The watcher reads everything again.
+        Fail({ KeyValueError::Effect::kNotApplied,
+               "a change of " + mPrefix + " could not be taken",
+               true });
+        return;
+      }
     }
     // A progress notice promises that everything up to its revision was sent.
     if (!aMessage.mCreated && aMessage.mBatches.empty()) {
@@ -419,7 +426,7 @@
   {
     Close();
     const auto onError = mOnError;
-    onError(aError);
+    RunGuarded(kLog, "the end of a watch", [&] { onError(aError); });
   }
 
   std::shared_ptr<Shared> mShared;
@@ -474,22 +481,24 @@
   const auto done = [aParse = std::move(aParse),
                      aCallback = std::move(aCallback),
                      aPath](const KeyValueResult<QByteArray>& aReply) {
-    if (!aReply) {
-      kLog.Debug(std::string(aPath) + ": " + aReply.error().mMessage);
-      aCallback(Failure(aReply.error()));
-      return;
-    }
-    auto parsed = aParse(aReply.value());
-    if (!parsed) {
-      // The service did answer, but the answer cannot be read, so a write may
-      // have taken effect.
-      aCallback(
-        Failure(KeyValueError{ KeyValueError::Effect::kUnknown,
-                               "malformed reply: " + parsed.error().mMessage,
-                               false }));
-      return;
-    }
-    aCallback(std::move(parsed).value());
+    RunGuarded(kLog, aPath, [&] {
+      if (!aReply) {
+        kLog.Debug(std::string(aPath) + ": " + aReply.error().mMessage);
+        aCallback(Failure(aReply.error()));
+        return;
+      }
+      auto parsed = aParse(aReply.value());
+      if (!parsed) {
+        // The service did answer, but the answer cannot be read, so a write
+        // may have taken effect.
+        aCallback(
+          Failure(KeyValueError{ KeyValueError::Effect::kUnknown,
+                                 "malformed reply: " + parsed.error().mMessage,
+                                 false }));
+        return;
+      }
+      aCallback(std::move(parsed).value());
+    });
   };
   auto call = std::make_shared<Call>(
     *mShared, aPath, std::move(aBody), aRepeatable, done);
--- a/Source/Targets/CurlMulti.cxx
+++ b/Source/Targets/CurlMulti.cxx
@@ -1,5 +1,7 @@
 #include "Targets/CurlMulti.h"
 
+#include "Core/ErrorGuard.h"
+
 #include <array>
 #include <cerrno>
 #include <stdexcept>
@@ -11,6 +13,8 @@
 
 namespace {
 
+const Log kLog("curl");
+
 /// Receive buffer of each call. Token events are small, and libcurl allocates
 /// the buffer per call; its default is 16 KiB.
 constexpr long kReceiveBufferBytes = 4096;
@@ -229,10 +233,12 @@
 {
   auto* state = static_cast<CurlTransfer::State*>(aState);
   const auto size = aSize * aCount;
-  if (!state->mAbandoned) {
-    state->mOnData({ aData, size });
-  }
   // A short count makes libcurl end the transfer.
+  if (state->mAbandoned || !RunGuarded(kLog, "received data", [&] {
+        state->mOnData({ aData, size });
+      })) {
+    return 0;
+  }
   return state->mAbandoned ? 0 : size;
 }
 
@@ -306,7 +312,7 @@
     Remove(easy);
     state->mMulti = nullptr;
     if (!state->mAbandoned) {
-      state->mOnEnd(end);
+      RunGuarded(kLog, "the end of a call", [&] { state->mOnEnd(end); });
     }
   }
 }
--- a/Tests/Filters/StreamRelayTest.cxx
+++ b/Tests/Filters/StreamRelayTest.cxx
@@ -332,8 +332,7 @@
               bench.mRelay.Start(kFirst, kFirstToken);
               bench.mRelay.OnStreamEnd({ StreamEndKind::kRejected, 503, "" });
               bench.mScheduler.Advance(std::chrono::seconds(60));
-              CPPUNIT_ASSERT(RunState::kNotRun ==
-                             bench.mEnd->mVerdict.mState);
+              CPPUNIT_ASSERT(RunState::kNotRun == bench.mEnd->mVerdict.mState);
             });
   }
 
--- a/Tests/Targets/CurlMultiTest.cxx
+++ b/Tests/Targets/CurlMultiTest.cxx
@@ -5,6 +5,7 @@
 #include <QTcpServer>
 #include <QTcpSocket>
 #include <cppunit/extensions/HelperMacros.h>
+#include <stdexcept>
 
 namespace ragwortdeck {
 
@@ -100,6 +101,7 @@
   CPPUNIT_TEST_SUITE(CurlMultiTest);
   CPPUNIT_TEST(TestLateSecondCopy);
   CPPUNIT_TEST(TestNoHiddenRepeats);
+  CPPUNIT_TEST(TestHookThatThrows);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -128,6 +130,28 @@
     }
     CPPUNIT_ASSERT_EQUAL(3, server.mRequests);
   }
+
+  /// Guards against a process that ends when the content of one answer is not
+  /// expected: the exception would pass through libcurl.
+  void TestHookThatThrows()
+  {
+    CurlMulti curl;
+    Server server;
+    bool isOver = false;
+    TransferEnd end;
+    const auto transfer = curl.Start(
+      PostTo(server),
+      [](std::string_view) { throw std::out_of_range("unexpected"); },
+      [&](const TransferEnd& aEnd) {
+        end = aEnd;
+        isOver = true;
+      });
+    RunEventLoopUntil([&] { return isOver; });
+    CPPUNIT_ASSERT(TransferEndKind::kDropped == end.mKind);
+    Section("other calls go on", [&] {
+      CPPUNIT_ASSERT_EQUAL(std::string("2"), Send(curl, PostTo(server)).mBody);
+    });
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(CurlMultiTest);
