Entry, Serving: Report copies of departing streams to their planner only

Each of some 126 streams of a wave of departures told about a hundred hosts that its first copy was done, and each plan went whole to all of them: streams x hosts.

Change: a host reports the copy to the planner, again after 60 ms until it hears that it may stop; the planner tells each host once that all first copies are done (CopyBarrier), and sends it its own part of the plan only. Without the planner, runs stop at their latest time, as before.

Ruled out: stops without waiting (a stopped run would wait behind the first copy of another one).

--- a/Source/Entry/Departures.cxx
+++ b/Source/Entry/Departures.cxx
@@ -3,6 +3,7 @@
 #include "Entry/StreamRun.h"
 
 #include <algorithm>
+#include <iterator>
 
 namespace ragwortdeck {
 
@@ -14,18 +15,6 @@
 /// Key by which the hosts agree on the planner.
 constexpr const char* kPlannerKey = "departures";
 
-std::tuple<std::string, std::uint64_t, std::string>
-KeyOf(const DepartingRun& aRun)
-{
-  return { aRun.mHost, aRun.mRun, aRun.mEngine };
-}
-
-std::tuple<std::string, std::uint64_t, std::string>
-KeyOf(const PlannedCopy& aCopy)
-{
-  return { aCopy.mHost, aCopy.mRun, aCopy.mEngine };
-}
-
 } // namespace
 
 Departures::Departures(EntryContext& aContext, SiteFeed& aFeed)
@@ -116,10 +105,20 @@
                         { "hosts", hosts.size() },
                         { "streams", plan.size() },
                         { "copies", copies } });
-  // The hosts of earlier plans must wait for these copies too.
-  SendToInvolved(std::move(hosts),
-                 [&](HostMessage& aMessage) { aMessage.mPlan = plan; });
-  HandlePlan(plan);
+  mBarrier.Await(plan, mContext.Now());
+  for (const auto& host : hosts) {
+    std::vector<PlannedCopy> part;
+    std::copy_if(plan.begin(),
+                 plan.end(),
+                 std::back_inserter(part),
+                 [&](const PlannedCopy& aCopy) { return aCopy.mHost == host; });
+    if (host == Self()) {
+      HandlePlan(host, part);
+    } else {
+      mFeed.Exchange().Send(
+        host, [&](HostMessage& aMessage) { aMessage.mPlan = part; });
+    }
+  }
 }
 
 std::vector<PlannedCopy>
@@ -159,67 +158,89 @@
   return plan;
 }
 
+const std::string&
+Departures::Self() const
+{
+  return mContext.mSettings.mPeers.mAddress;
+}
+
 void
 Departures::HandleCopied(const std::vector<DepartingRun>& aRuns)
 {
-  for (const auto& run : aRuns) {
-    mAwaited.erase(KeyOf(run));
+  for (const auto& host : mBarrier.OnCopied(aRuns, mContext.Now())) {
+    if (host == Self()) {
+      HandleAllCopied(host);
+    } else {
+      mFeed.Exchange().Send(
+        host, [](HostMessage& aMessage) { aMessage.mAllCopied = true; });
+    }
   }
 }
 
+void
+Departures::HandleAllCopied(const std::string& aPlanner)
+{
+  mHeldUntil.erase(aPlanner);
+}
+
 bool
-Departures::AllCopied()
+Departures::MayStop(const std::string& aPlanner) const
 {
-  std::erase_if(mAwaited, [now = mContext.Now()](const auto& aItem) {
-    return aItem.second <= now;
-  });
-  return mAwaited.empty();
+  const auto it = mHeldUntil.find(aPlanner);
+  return it == mHeldUntil.end() || it->second <= mContext.Now();
 }
 
 void
-Departures::HandlePlan(const std::vector<PlannedCopy>& aPlan)
+Departures::HandlePlan(const std::string& aPlanner,
+                       const std::vector<PlannedCopy>& aPlan)
 {
   const auto now = mContext.Now();
-  const auto& self = mContext.mSettings.mPeers.mAddress;
+  std::erase_if(mHeldUntil,
+                [&](const auto& aItem) { return aItem.second <= now; });
   for (const auto& copy : aPlan) {
-    if (copy.mHost == self) {
+    if (copy.mHost == Self()) {
       mPlanned.emplace(KeyOf(copy), now);
     }
     if (!copy.mDestination.empty()) {
-      mAwaited[KeyOf(copy)] = now + Duration(Milliseconds(copy.mLatestStopMs));
+      auto& until = mHeldUntil[aPlanner];
+      until = std::max(until, now + Duration(Milliseconds(copy.mLatestStopMs)));
     }
   }
   for (const auto& copy : aPlan) {
-    if (copy.mHost == self) {
-      MoveOwn(copy);
+    if (copy.mHost == Self()) {
+      MoveOwn(aPlanner, copy);
     }
   }
 }
 
 void
-Departures::SendCopied(const DepartingRun& aRun)
+Departures::ReportCopied(const std::string& aPlanner, const DepartingRun& aRun)
 {
-  HandleCopied({ aRun });
-  SendToInvolved({},
-                 [&](HostMessage& aMessage) { aMessage.mCopied = { aRun }; });
+  if (aPlanner == Self()) {
+    HandleCopied({ aRun });
+    return;
+  }
+  mContext.Spawn("report_copied", ReportUntilHeard(aPlanner, aRun));
 }
 
-void
-Departures::SendToInvolved(std::set<std::string> aHosts,
-                           const std::function<void(HostMessage&)>& aAdd)
+Task<void>
+Departures::ReportUntilHeard(std::string aPlanner, DepartingRun aRun)
 {
-  for (const auto& [key, until] : mAwaited) {
-    aHosts.insert(std::get<0>(key));
-  }
-  auto& exchange = mFeed.Exchange();
-  aHosts.erase(exchange.Self().mName);
-  for (const auto& host : aHosts) {
-    exchange.Send(host, aAdd);
+  // All last copies wait for each report, so a lost one is made up for.
+  constexpr int kReports = 4;
+  constexpr Milliseconds kReportInterval{ 60 };
+  for (int i = 0; i < kReports; ++i) {
+    mFeed.Exchange().Send(
+      aPlanner, [&](HostMessage& aMessage) { aMessage.mCopied = { aRun }; });
+    co_await SleepFor(mContext.mIo, kReportInterval);
+    if (MayStop(aPlanner)) {
+      co_return;
+    }
   }
 }
 
 void
-Departures::MoveOwn(const PlannedCopy& aCopy)
+Departures::MoveOwn(const std::string& aPlanner, const PlannedCopy& aCopy)
 {
   DepartingRun run;
   run.mEngine = aCopy.mEngine;
@@ -228,7 +249,7 @@
   const auto it = mContext.mStreams.find(aCopy.mRun);
   if (it == mContext.mStreams.end() || it->second->Engine() != aCopy.mEngine) {
     if (!aCopy.mDestination.empty()) {
-      SendCopied(run);
+      ReportCopied(aPlanner, run);
     }
     return;
   }
@@ -243,8 +264,8 @@
   plan.mDestination = aCopy.mDestination;
   plan.mFirstCopyAt = now + Duration(Milliseconds(aCopy.mFirstCopyStartMs));
   plan.mLatestStop = now + Duration(Milliseconds(aCopy.mLatestStopMs));
-  plan.mMayStop = [this] { return AllCopied(); };
-  plan.mOnCopied = [this, run] { SendCopied(run); };
+  plan.mMayStop = [this, aPlanner] { return MayStop(aPlanner); };
+  plan.mOnCopied = [this, aPlanner, run] { ReportCopied(aPlanner, run); };
   it->second->StartMove(std::move(plan));
 }
 
--- a/Source/Entry/Departures.h
+++ b/Source/Entry/Departures.h
@@ -37,35 +37,37 @@
              std::optional<Milliseconds> aLeavesIn);
   /// Takes streams, of this or another host, whose moves this host must plan.
   void AddDeparting(const std::vector<DepartingRun>& aRuns);
-  /// Takes streams whose first copy is done or was given up.
+  /// Takes streams, of a plan of this host, whose first copy is done or was
+  /// given up.
   void HandleCopied(const std::vector<DepartingRun>& aRuns);
-  /// Carries out this host's part of a plan.
-  void HandlePlan(const std::vector<PlannedCopy>& aPlan);
+  /// Carries out this host's part of the plan of aPlanner.
+  void HandlePlan(const std::string& aPlanner,
+                  const std::vector<PlannedCopy>& aPlan);
+  /// The first copies of the plans of aPlanner are done.
+  void HandleAllCopied(const std::string& aPlanner);
 
 private:
-  /// A stream's host, its id there, and the engine that it leaves.
-  using RunKey = std::tuple<std::string, std::uint64_t, std::string>;
-
   Task<void> PlanAfterCollecting();
   Task<void> PlanOwnAfterTimeout(std::vector<DepartingRun> aOwn);
   std::vector<PlannedCopy> Plan();
-  /// Whether no first copy is awaited any more.
-  bool AllCopied();
-  void MoveOwn(const PlannedCopy& aCopy);
-  void SendCopied(const DepartingRun& aRun);
-  /// Sends to aHosts and to the hosts whose first copies are awaited.
-  void SendToInvolved(std::set<std::string> aHosts,
-                      const std::function<void(HostMessage&)>& aAdd);
+  const std::string& Self() const;
+  /// Whether streams that aPlanner planned may stop for their last copies.
+  bool MayStop(const std::string& aPlanner) const;
+  void MoveOwn(const std::string& aPlanner, const PlannedCopy& aCopy);
+  /// Tells aPlanner that the first copy of a stream is done or was given up.
+  void ReportCopied(const std::string& aPlanner, const DepartingRun& aRun);
+  Task<void> ReportUntilHeard(std::string aPlanner, DepartingRun aRun);
 
   EntryContext& mContext;
   SiteFeed& mFeed;
   DeparturePlanner mPlanner;
   bool mPlanning = false;
   /// Streams of this host that a received plan covers, and when it arrived.
-  std::map<RunKey, MonotonicTime> mPlanned;
-  /// First copies that all last copies wait for, and until when they wait: the
-  /// copies share links and destinations.
-  std::map<RunKey, MonotonicTime> mAwaited;
+  std::map<DepartingKey, MonotonicTime> mPlanned;
+  CopyBarrier mBarrier;
+  /// Until when the last copies of this host's streams wait for the first
+  /// copies of others, by planner: the copies share links and destinations.
+  std::map<std::string, MonotonicTime> mHeldUntil;
 };
 
 } // namespace ragwortdeck
--- a/Source/Entry/EntryProcess.cxx
+++ b/Source/Entry/EntryProcess.cxx
@@ -113,8 +113,12 @@
   mFeed.mOnCopied = [this](const std::vector<DepartingRun>& aRuns) {
     mDepartures.HandleCopied(aRuns);
   };
-  mFeed.mOnPlan = [this](const std::vector<PlannedCopy>& aSlots) {
-    mDepartures.HandlePlan(aSlots);
+  mFeed.mOnAllCopied = [this](const std::string& aPlanner) {
+    mDepartures.HandleAllCopied(aPlanner);
+  };
+  mFeed.mOnPlan = [this](const std::string& aPlanner,
+                         const std::vector<PlannedCopy>& aPlan) {
+    mDepartures.HandlePlan(aPlanner, aPlan);
   };
   mContext.mLoad.mOnChange = [this](bool aGrew) { mFeed.OnLoadChanged(aGrew); };
   mLog.Write("start",
--- a/Source/Entry/HostExchange.cxx
+++ b/Source/Entry/HostExchange.cxx
@@ -127,7 +127,7 @@
   if (path == MessagePath::kToRelay) {
     Relay(message);
   } else if (path == MessagePath::kToMerge) {
-    Collect(message.mHost, { mBuffer.data(), aSize });
+    Collect(message, { mBuffer.data(), aSize });
   }
   mReceive(message);
 }
@@ -276,7 +276,7 @@
   message.mPath = static_cast<int>(MessagePath::kToMerge);
   SendTo(plan.mCollectors, message);
   if (plan.mCollectsOwn) {
-    Collect(mLocal.mAddress, Pack(message));
+    Collect(message, Pack(message));
   }
 }
 
@@ -316,14 +316,22 @@
 }
 
 void
-HostExchange::Collect(const std::string& aHost, std::string aMessage)
+HostExchange::Collect(const HostMessage& aMessage, std::string aBytes)
 {
-  if (!mMerger.Add(aHost, std::move(aMessage), mClock.Now())) {
+  const auto now = mClock.Now();
+  const auto due = mMerger.Add(aMessage.mHost,
+                               std::move(aBytes),
+                               aMessage.mFailureDomain == mFailureDomain,
+                               now);
+  if (mMergePending && mMergeAt <= due) {
     return;
   }
-  mMergeTimer.expires_after(MessageMerger::kInterval);
+  mMergePending = true;
+  mMergeAt = due;
+  mMergeTimer.expires_after(due - now);
   mMergeTimer.async_wait([this](const error_code& aError) {
     if (!aError) {
+      mMergePending = false;
       SendCollected();
     }
   });
--- a/Source/Entry/HostExchange.h
+++ b/Source/Entry/HostExchange.h
@@ -120,8 +120,9 @@
   bool Accept(const HostMessage& aMessage);
   /// Takes the messages of other hosts that aMessage carries.
   void AcceptMerged(const HostMessage& aMessage);
-  /// Passes a packed message on within this failure domain, with others.
-  void Collect(const std::string& aHost, std::string aMessage);
+  /// Passes a message, packed as aBytes, on within this failure domain, with
+  /// others.
+  void Collect(const HostMessage& aMessage, std::string aBytes);
   void SendCollected();
   /// The other hosts of this failure domain that count as live.
   std::vector<std::string> DomainHosts(
@@ -161,6 +162,9 @@
   std::uint64_t mBroadcasts = 0;
   MessageMerger mMerger;
   asio::steady_timer mMergeTimer;
+  /// When mMergeTimer expires, if it is set.
+  MonotonicTime mMergeAt;
+  bool mMergePending = false;
   FillMessage mFillMessage;
   Receive mReceive;
 };
--- a/Source/Entry/HostMessage.h
+++ b/Source/Entry/HostMessage.h
@@ -74,7 +74,8 @@
   /// The sender's streams on leaving engines whose first copy is done or was
   /// given up.
   std::vector<DepartingRun> mCopied;
-  /// The sender's plan for moves of the receiver's and other hosts' streams.
+  /// The sender's plan for moves of the receiver's streams; of versions without
+  /// mAllCopied also of other hosts' streams.
   std::vector<PlannedCopy> mPlan;
   /// Targets that reported to the sender that they are leaving, with the time
   /// in milliseconds until they end, or -1 when it is not known.
@@ -107,6 +108,9 @@
   bool mAcceptsMerged = false;
   /// Packed messages of other hosts.
   std::vector<std::string> mMerged;
+  /// No first copy of the sender's plans is awaited any more: the receiver's
+  /// streams may stop for their last copies.
+  bool mAllCopied = false;
 
   MSGPACK_DEFINE_ARRAY(mHost,
                        mIncarnation,
@@ -137,7 +141,8 @@
                        mIntroduced,
                        mLiveHosts,
                        mAcceptsMerged,
-                       mMerged)
+                       mMerged,
+                       mAllCopied)
 };
 
 } // namespace ragwortdeck
--- a/Source/Entry/SiteFeed.cxx
+++ b/Source/Entry/SiteFeed.cxx
@@ -769,7 +769,10 @@
     mOnCopied(aMessage.mCopied);
   }
   if (!aMessage.mPlan.empty() && mOnPlan) {
-    mOnPlan(aMessage.mPlan);
+    mOnPlan(aMessage.mHost, aMessage.mPlan);
+  }
+  if (aMessage.mAllCopied && mOnAllCopied) {
+    mOnAllCopied(aMessage.mHost);
   }
   for (const auto& [target, leavesMs] : aMessage.mReportedLeaving) {
     HandleReportedLeaving(target, leavesMs);
--- a/Source/Entry/SiteFeed.h
+++ b/Source/Entry/SiteFeed.h
@@ -34,8 +34,12 @@
   /// Called with streams of another host whose first copy is done or was
   /// given up.
   std::function<void(const std::vector<DepartingRun>&)> mOnCopied;
-  /// Called with another host's plan for streams on leaving engines.
-  std::function<void(const std::vector<PlannedCopy>&)> mOnPlan;
+  /// Called with another host, the planner, and its plan for streams on leaving
+  /// engines.
+  std::function<void(const std::string&, const std::vector<PlannedCopy>&)>
+    mOnPlan;
+  /// Called with a planner whose planned first copies are all done.
+  std::function<void(const std::string&)> mOnAllCopied;
   HostExchange& Exchange() { return mExchange; }
 
 private:
--- a/Source/Serving/DeparturePlanner.cxx
+++ b/Source/Serving/DeparturePlanner.cxx
@@ -1,7 +1,6 @@
 #include "Serving/DeparturePlanner.h"
 
 #include <algorithm>
-#include <tuple>
 
 namespace ragwortdeck {
 
@@ -40,8 +39,7 @@
 {
   ForgetOld(aNow);
   for (const auto& run : aRuns) {
-    if (!mFirstReportedAt.emplace(Key(run.mHost, run.mRun, run.mEngine), aNow)
-           .second) {
+    if (!mFirstReportedAt.emplace(KeyOf(run), aNow).second) {
       continue;
     }
     const auto endsAt = aNow + FromMs(run.mEngineEndsMs);
@@ -112,9 +110,9 @@
   }
   auto copies =
     PlanDepartures(runs, engines, std::move(aDestinations), aMsPerToken);
-  std::set<Key> plannedKeys;
+  std::set<DepartingKey> plannedKeys;
   for (const auto& copy : copies) {
-    const Key key(copy.mHost, copy.mRun, copy.mEngine);
+    const auto key = KeyOf(copy);
     plannedKeys.insert(key);
     const auto end = aNow + FromMs(copy.mFirstCopyEndMs);
     for (const auto& link : { copy.mEngine, copy.mDestination }) {
@@ -122,7 +120,7 @@
     }
     const auto run =
       std::find_if(runs.begin(), runs.end(), [&](const DepartingRun& aRun) {
-        return Key(aRun.mHost, aRun.mRun, aRun.mEngine) == key;
+        return KeyOf(aRun) == key;
       });
     mReservations.push_back(
       { copy.mDestination,
@@ -130,7 +128,7 @@
         aNow + FromMs(copy.mFirstCopyStartMs) + kLoadReportDelay });
   }
   for (const auto& run : runs) {
-    if (!plannedKeys.contains(Key(run.mHost, run.mRun, run.mEngine))) {
+    if (!plannedKeys.contains(KeyOf(run))) {
       copies.push_back({ run.mEngine, run.mHost, run.mRun, "", 0, 0, 0 });
     }
   }
--- a/Source/Serving/DeparturePlanner.h
+++ b/Source/Serving/DeparturePlanner.h
@@ -1,10 +1,9 @@
 #pragma once
 
-#include "Serving/DeparturePlan.h"
+#include "Serving/CopyBarrier.h"
 
 #include <map>
 #include <set>
-#include <tuple>
 
 namespace ragwortdeck {
 
@@ -43,15 +42,12 @@
     std::int64_t mTokens = 0;
     MonotonicTime mExpiresAt;
   };
-  /// A run's host, its id there, and the engine that it leaves.
-  using Key = std::tuple<std::string, std::uint64_t, std::string>;
-
   double LinkBusyMs(const std::string& aEngine, MonotonicTime aNow) const;
   void ForgetOld(MonotonicTime aNow);
 
   std::vector<DepartingRun> mUnplanned;
   /// When each run was first reported.
-  std::map<Key, MonotonicTime> mFirstReportedAt;
+  std::map<DepartingKey, MonotonicTime> mFirstReportedAt;
   std::map<std::string, MonotonicTime> mEndsAt;
   std::map<std::string, MonotonicTime> mLinkFreeAt;
   std::vector<Reservation> mReservations;
--- a/Source/Serving/MessageMerger.cxx
+++ b/Source/Serving/MessageMerger.cxx
@@ -1,17 +1,20 @@
 #include "Serving/MessageMerger.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace ragwortdeck {
 
-bool
+MonotonicTime
 MessageMerger::Add(const std::string& aHost,
                    std::string aMessage,
+                   bool aOwnDomain,
                    MonotonicTime aNow)
 {
-  const bool isFirst = mItems.empty();
+  const auto due = aNow + (aOwnDomain ? kOwnDomainInterval : kInterval);
+  mDueAt = mItems.empty() ? due : std::min(mDueAt, due);
   mItems[aHost] = { std::move(aMessage), aNow };
-  return isFirst;
+  return mDueAt;
 }
 
 std::vector<std::vector<std::string>>
