Entry: Copy a departing stream elsewhere when its destination has gone

Test: RelayTest::TestMoveToAnotherDestination, which failed first.

Change: such an answer means that the run was not stopped, so the next destination is tried, if its first copy ends before the latest stop. The planner logs when all first copies are done (departures_copied).

--- a/Source/Entry/Departures.cxx
+++ b/Source/Entry/Departures.cxx
@@ -167,7 +167,13 @@
 void
 Departures::HandleCopied(const std::vector<DepartingRun>& aRuns)
 {
-  for (const auto& host : mBarrier.OnCopied(aRuns, mContext.Now())) {
+  const auto hosts = mBarrier.OnCopied(aRuns, mContext.Now());
+  if (!hosts.empty()) {
+    mContext.mLog.Write(
+      "departures_copied",
+      { { "hosts", hosts.size() }, { "last_engine", aRuns.back().mEngine } });
+  }
+  for (const auto& host : hosts) {
     if (host == Self()) {
       HandleAllCopied(host);
     } else {
--- a/Source/Entry/StreamRun.cxx
+++ b/Source/Entry/StreamRun.cxx
@@ -653,17 +653,18 @@
 {
   // A copy to another failure domain takes twice as long and delays the copies
   // that are queued after it.
-  constexpr double kOtherDomainPenaltyMs = 400;
+  constexpr double kOtherDomainCopyPenaltyMs = 400;
   co_await SleepUntil(mPlan.mFirstCopyAt);
   auto excluded = mExcluded;
   excluded.insert(mEngine.mId);
   for (int i = 0; i < kMaxDestinations && !mRequest->HasEnded(); ++i) {
     const auto* planned =
       i == 0 ? mContext.mTargets.Find(mPlan.mDestination) : nullptr;
-    const auto to =
-      planned && !planned->mLeaving
-        ? std::optional(planned->mTarget)
-        : ChooseTarget(excluded, mEngine.mFailureDomain, kOtherDomainPenaltyMs);
+    const auto to = planned && !planned->mLeaving
+                      ? std::optional(planned->mTarget)
+                      : ChooseTarget(excluded,
+                                     mEngine.mFailureDomain,
+                                     kOtherDomainCopyPenaltyMs);
     if (!to) {
       mContext.mLog.Write(
         "move_without_room",
@@ -730,7 +731,9 @@
     if (status == kStatusOk || (last && status == kStatusUnavailable)) {
       auto move = mContext.mCodec.ReadMove(reply.value().mBody);
       if (!move) {
-        co_return false;
+        // Without a handle the run goes on at its engine: the destination has
+        // gone since the first copy, and another one may still be reached.
+        co_return status != kStatusOk;
       }
       // If the destination has no room, the source keeps the memory.
       mMoved = MovedRun{ { source.mEndpoint, move.value().mHandle },
--- a/Tests/Entry/RelayTest.cxx
+++ b/Tests/Entry/RelayTest.cxx
@@ -1,5 +1,6 @@
 #include "Entry/PlainRelay.h"
 #include "Entry/RelayWorld.h"
+#include "Entry/StreamRun.h"
 #include "Support/Section.h"
 
 #include <cppunit/extensions/HelperMacros.h>
@@ -46,6 +47,7 @@
   CPPUNIT_TEST(TestStream);
   CPPUNIT_TEST(TestBrokenStream);
   CPPUNIT_TEST(TestResumedStream);
+  CPPUNIT_TEST(TestMoveToAnotherDestination);
   CPPUNIT_TEST(TestCallerGone);
   CPPUNIT_TEST(TestNextRequestArrivesEarly);
   CPPUNIT_TEST_SUITE_END();
@@ -354,6 +356,62 @@
     CPPUNIT_ASSERT(Contains(second.Requests().at(0), "Last-Event-Id: 2\r\n"));
   }
 
+  void TestMoveToAnotherDestination()
+  {
+    // Guards against a stream that ends with its leaving engine because the
+    // destination of its copy has gone between the first and the last copy.
+    RelayWorld world;
+    world.mEngine = EngineLimits{ 8, 100000, 1, 1000, 1, true };
+    auto& leaving = world.AddTarget("t1");
+    auto& gone = world.AddTarget("t2");
+    auto& destination = world.AddTarget("t3");
+    tcp::socket* stream = nullptr;
+    leaving.AddScript([&](tcp::socket& aSocket, const std::string&) {
+      stream = &aSocket;
+      WriteAll(aSocket, RelayWorld::StreamHead("id1") + RelayWorld::Event(1));
+      return true;
+    });
+    const auto reply = [](const std::string& aStatus,
+                          const std::string& aBody) {
+      return "HTTP/1.1 " + aStatus +
+             "\r\nContent-Length: " + std::to_string(aBody.size()) +
+             "\r\n\r\n" + aBody;
+    };
+    const std::string copied = R"({"handle":"h1","created_at":1})";
+    leaving.AddScript(Send(reply("200 OK", copied), true));
+    leaving.AddScript(Send(reply("503 Service Unavailable", "{}"), true));
+    leaving.AddScript(Send(reply("200 OK", copied), true));
+    leaving.AddScript([&](tcp::socket& aSocket, const std::string&) {
+      WriteAll(aSocket, reply("200 OK", copied));
+      stream->close();
+      return true;
+    });
+    destination.AddScript(
+      Send(RelayWorld::StreamHead("id1") + RelayWorld::Event(2) + "0\r\n\r\n"));
+    world.Start();
+    // The other engines have long prompts to process.
+    world.Context().mLoad.SetPeer(
+      "other host",
+      { { "t2", 1, 100, 50000 }, { "t3", 1, 100, 60000 } },
+      world.Context().Now());
+    const auto caller = world.Call(RelayWorld::Request("long", "id1"));
+    const auto begin = world.Reply(*caller, "id: 1\n");
+    const auto now = world.Context().Now();
+    StreamRun::MovePlan plan;
+    plan.mDestination = "t2";
+    plan.mFirstCopyAt = now;
+    plan.mLatestStop = now + std::chrono::seconds(30);
+    plan.mMayStop = [] { return true; };
+    world.Context().mStreams.begin()->second->StartMove(std::move(plan));
+    const auto end = world.Reply(*caller, kEndOfStream);
+    CPPUNIT_ASSERT(end.ends_with(kEndOfStream));
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), Count(begin + end, "id: 2\n"));
+    CPPUNIT_ASSERT(gone.Requests().empty());
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), destination.Requests().size());
+    CPPUNIT_ASSERT(
+      Contains(destination.Requests().at(0), "Last-Event-Id: 1\r\n"));
+  }
+
   void TestCallerGone()
   {
     Section("before the answer", [&] {
--- a/Tests/Entry/RelayWorld.cxx
+++ b/Tests/Entry/RelayWorld.cxx
@@ -85,6 +85,24 @@
   }
 }
 
+bool
+ScriptedTarget::IsWhole(const std::string& aRequest)
+{
+  // Bodies that are sent in chunks end with "<end>".
+  if (aRequest.find("<end>") != std::string::npos) {
+    return true;
+  }
+  const auto headEnd = aRequest.find("\r\n\r\n");
+  if (headEnd == std::string::npos) {
+    return false;
+  }
+  const std::string name = "Content-Length: ";
+  const auto length = aRequest.find(name);
+  return length == std::string::npos ||
+         aRequest.size() - headEnd - 4 >=
+           std::stoul(aRequest.substr(length + name.size()));
+}
+
 Task<void>
 ScriptedTarget::Serve(std::shared_ptr<tcp::socket> aSocket)
 {
@@ -92,10 +110,7 @@
     std::string request;
     std::array<char, 4096> buf{};
     error_code ec;
-    // Requests of these tests have no body, or a body that ends with "<end>".
-    while (request.find("<end>") == std::string::npos &&
-           (request.find("\r\n\r\n") == std::string::npos ||
-            request.find("Content-Length") != std::string::npos)) {
+    while (!IsWhole(request)) {
       const auto n =
         co_await aSocket->async_read_some(asio::buffer(buf), RedirectError(ec));
       if (ec) {
@@ -166,7 +181,7 @@
     std::make_shared<const ServingTable>(
       ServingTable::Create(1,
                            std::move(routes),
-                           { { "s", 100, std::nullopt } },
+                           { { "s", 100, mEngine } },
                            {},
                            { { "team", { "secret" }, std::nullopt } })),
     1);
--- a/Tests/Entry/RelayWorld.h
+++ b/Tests/Entry/RelayWorld.h
@@ -25,6 +25,8 @@
   bool PeerClosed() const { return mPeerClosed; }
 
 private:
+  /// Whether aRequest has arrived in full.
+  static bool IsWhole(const std::string& aRequest);
   Task<void> Accept();
   Task<void> Serve(std::shared_ptr<tcp::socket> aSocket);
 
@@ -55,6 +57,8 @@
   Milliseconds mRouteTimeout{ 30000 };
   Milliseconds mLatencyGoal{ 20000 };
   Milliseconds mEventGapGoal{ 5000 };
+  /// Set before Start() if the targets are engines.
+  std::optional<EngineLimits> mEngine;
   /// Applies the table and the target list; called once, after AddTarget().
   void Start();
   /// Opens a connection and sends aBytes; Reply() reads the answer.
