--- a/Source/Entry/StreamRun.cxx
+++ b/Source/Entry/StreamRun.cxx
@@ -27,7 +27,7 @@
 constexpr Milliseconds kMoveTimeout{ 2600 };
 /// Penalty for an engine in another failure domain, as delay of the first
 /// token: traffic between domains costs money.
-constexpr double kOtherDomainPenaltyMs = 80;
+constexpr double kOtherDomainPenaltyMs = 25;
 
 std::optional<std::int64_t>
 ParseEventNumber(const std::string& aText)
