Entry: Group a plan by host in one pass, pack a message where it is sent

The planner filtered the whole plan anew for each of its hosts: it now groups the copies while it counts them. HostExchange::SendBytes() had one caller and needed a const_cast; SendTo() packs the message itself again.

--- a/Source/Entry/Departures.cxx
+++ b/Source/Entry/Departures.cxx
@@ -3,7 +3,6 @@
 #include "Entry/StreamRun.h"
 
 #include <algorithm>
-#include <iterator>
 
 namespace ragwortdeck {
 
@@ -91,32 +90,27 @@
   co_await SleepFor(mContext.mIo, kCollectTime);
   mPlanning = false;
   const auto plan = Plan();
-  std::set<std::string> hosts;
+  std::map<std::string, std::vector<PlannedCopy>> byHost;
   std::set<std::string> engines;
   std::size_t copies = 0;
   for (const auto& copy : plan) {
-    hosts.insert(copy.mHost);
+    byHost[copy.mHost].push_back(copy);
     engines.insert(copy.mEngine);
     copies += copy.mDestination.empty() ? 0 : 1;
   }
   mContext.mLog.Write("departure_planned",
                       { { "engines", engines },
                         { "list_revision", mContext.mTargets.Revision() },
-                        { "hosts", hosts.size() },
+                        { "hosts", byHost.size() },
                         { "streams", plan.size() },
                         { "copies", copies } });
   mBarrier.Await(plan, mContext.Now());
-  for (const auto& host : hosts) {
-    std::vector<PlannedCopy> part;
-    std::copy_if(plan.begin(),
-                 plan.end(),
-                 std::back_inserter(part),
-                 [&](const PlannedCopy& aCopy) { return aCopy.mHost == host; });
+  for (const auto& [host, part] : byHost) {
     if (host == Self()) {
       HandlePlan(host, part);
     } else {
       mFeed.Exchange().Send(
-        host, [&](HostMessage& aMessage) { aMessage.mPlan = part; });
+        host, [&part = part](HostMessage& aMessage) { aMessage.mPlan = part; });
     }
   }
 }
--- a/Source/Entry/HostExchange.cxx
+++ b/Source/Entry/HostExchange.cxx
@@ -190,18 +190,11 @@
 HostExchange::SendTo(const std::vector<std::string>& aHosts,
                      const HostMessage& aMessage)
 {
-  if (!aHosts.empty()) {
-    SendBytes(aHosts, Pack(aMessage));
+  if (aHosts.empty()) {
+    return;
   }
-}
-
-void
-HostExchange::SendBytes(const std::vector<std::string>& aHosts,
-                        const std::string& aBytes)
-{
-  // sendmmsg() does not write to the content.
-  iovec content{ const_cast<char*>(aBytes.data()), // NOLINT(*-const-cast)
-                 aBytes.size() };
+  auto bytes = Pack(aMessage);
+  iovec content{ bytes.data(), bytes.size() };
   std::vector<udp::endpoint> receivers;
   receivers.reserve(aHosts.size());
   for (const auto& host : aHosts) {
--- a/Source/Entry/HostExchange.h
+++ b/Source/Entry/HostExchange.h
@@ -133,8 +133,6 @@
   /// Packs aMessage once and sends it to all of aHosts.
   void SendTo(const std::vector<std::string>& aHosts,
               const HostMessage& aMessage);
-  void SendBytes(const std::vector<std::string>& aHosts,
-                 const std::string& aBytes);
   /// Passes a message on to the hosts of this failure domain.
   void Relay(HostMessage aMessage);
   bool IsLive(const Peer& aPeer, MonotonicTime aNow) const
