Entry: Log how an answer ended, and the table at the end

The log line of a request could not tell the candidates apart: an answer without a length that ended with its connection, a reset, an engine given up for its silence and a stream closed for a move all read "stream ended early" or the text of a socket error, and only the table that admitted the request was named.

No behaviour changes.

--- a/Source/Entry/CallerRequest.h
+++ b/Source/Entry/CallerRequest.h
@@ -57,6 +57,8 @@
   int mAttempts = 0;
   std::string mTarget;
   std::string mReason;
+  /// How the answer of the last target ended; see DescribeEnd().
+  const char* mAnswerEnd = "";
   std::int64_t mWaitedMs = 0;
   /// Time from the arrival to the first event of a stream; 0 before it.
   std::int64_t mFirstEventMs = 0;
--- a/Source/Entry/CallerSession.cxx
+++ b/Source/Entry/CallerSession.cxx
@@ -380,6 +380,8 @@
                           aOutcome + "\"}");
   mContext.mMetrics.Observe("entry_request_ms", took);
   const auto proven = mContext.mTable.ConfirmedAt();
+  const auto current = mContext.mTable.Table();
+  const auto currentVersion = current ? current->Version() : 0;
   mContext.mLog.Write(
     "request",
     { { "id", aRequest.mCallerHeaders.mId },
@@ -390,6 +392,7 @@
       { "status", aStatus },
       { "reason", aRequest.mReason },
       { "target", aRequest.mTarget },
+      { "answer_end", aRequest.mAnswerEnd },
       { "sends", aRequest.mAttempts },
       { "prompt_tokens", aRequest.mCallerHeaders.mPromptTokens },
       { "output_bound", aRequest.mCallerHeaders.mMaxOutputTokens },
@@ -399,10 +402,8 @@
       { "first_event_ms", aRequest.mFirstEventMs },
       { "took_ms", std::chrono::duration_cast<Milliseconds>(took).count() },
       { "table_version",
-        aRequest.mTable
-          ? aRequest.mTable->Version()
-          : (mContext.mTable.Table() ? mContext.mTable.Table()->Version()
-                                     : 0) },
+        aRequest.mTable ? aRequest.mTable->Version() : currentVersion },
+      { "table_version_at_end", currentVersion },
       { "table_age_ms",
         proven ? std::chrono::duration_cast<Milliseconds>(now - *proven).count()
                : -1 },
--- a/Source/Entry/PlainRelay.cxx
+++ b/Source/Entry/PlainRelay.cxx
@@ -102,6 +102,7 @@
 PlainRelay::RecordOutcome(TargetOutcome& aOutcome)
 {
   using Kind = TargetOutcome::Kind;
+  mRequest.mAnswerEnd = aOutcome.mAnswerEnd;
   if (aOutcome.mKind == Kind::kAnswered) {
     mRequest.mTarget = aOutcome.mTarget;
     mLastAnswer = std::move(aOutcome.mResponse);
--- a/Source/Entry/StreamRun.cxx
+++ b/Source/Entry/StreamRun.cxx
@@ -360,6 +360,14 @@
   mProgressDue = aNow + Duration(Patience());
 }
 
+void
+StreamRun::RecordFailure(const error_code& aError)
+{
+  mRequest->mReason =
+    mEngine.mId + ": " + (mRetryCharged ? "no progress" : aError.message());
+  mRequest->mAnswerEnd = mRetryCharged ? "silence" : DescribeEnd(aError, false);
+}
+
 Task<StreamRun::SendResult>
 StreamRun::SendOnce(std::optional<RunMemory> aMemory)
 {
@@ -396,8 +404,7 @@
   if (ec) {
     connection->Close();
     if (!mRequest->HasEnded()) {
-      mRequest->mReason =
-        engine.mId + ": " + (mRetryCharged ? "no progress" : ec.message());
+      RecordFailure(ec);
       mContext.mHealth.Failed(engine.mId, mContext.Now());
     }
     co_return SendResult::kBroken;
@@ -440,7 +447,8 @@
   std::string body;
   AnswerBytes bytes(mContext.mAnswerBytes);
   // aParser shows whether the body is complete.
-  co_await ReadBody(*aConnection, *aParser, bytes, body);
+  const auto ec = co_await ReadBody(*aConnection, *aParser, bytes, body);
+  mRequest->mAnswerEnd = DescribeEnd(ec, aParser->need_eof());
   const auto& header = aParser->get();
   const auto responseHeaders =
     mContext.mCodec.ReadTargetResponseHeaders(header);
@@ -529,14 +537,15 @@
       if (mRequest->HasEnded()) {
         co_return SendResult::kBroken;
       }
-      mRequest->mReason =
-        mEngine.mId + ": " + (mRetryCharged ? "no progress" : ec.message());
+      RecordFailure(ec);
       if (!mMoving) {
         mContext.mHealth.Failed(mEngine.mId, mContext.Now());
       }
       co_return SendResult::kBroken;
     }
   }
+  mRequest->mAnswerEnd =
+    events.HasPartial() ? "inside_event" : DescribeEnd({}, aParser->need_eof());
   if (events.HasPartial() || aParser->need_eof()) {
     // Without a length or chunks, the end of the stream cannot be distinguished
     // from a lost connection.
--- a/Source/Entry/StreamRun.h
+++ b/Source/Entry/StreamRun.h
@@ -95,6 +95,8 @@
   /// Whether the request may be sent to one more engine; charges the retry
   /// allowance if so.
   bool TryNextEngine();
+  /// Records for the log why the current engine's answer failed.
+  void RecordFailure(const error_code& aError);
   Task<SendResult> SendOnce(std::optional<RunMemory> aMemory);
   Task<SendResult> RelayEvents(
     TargetConnectionPtr aConnection,
--- a/Source/Entry/TargetExchange.cxx
+++ b/Source/Entry/TargetExchange.cxx
@@ -54,6 +54,19 @@
 
 } // namespace
 
+const char*
+DescribeEnd(const error_code& aError, bool aUnmarked)
+{
+  if (!aError) {
+    return aUnmarked ? "end_of_connection" : "marked";
+  }
+  if (aError == http::error::end_of_stream ||
+      aError == http::error::partial_message) {
+    return "cut_off";
+  }
+  return aError == asio::error::connection_reset ? "reset" : "error";
+}
+
 Task<error_code>
 ReadBody(TargetConnection& aConnection,
          http::response_parser<http::buffer_body>& aParser,
@@ -161,6 +174,7 @@
     }
     ec = co_await ReadBody(*connection, *parser, mAnswerBytes, body);
   }
+  outcome.mAnswerEnd = DescribeEnd(ec, parser->need_eof());
   const auto now = mContext.Now();
   if (mAborted) {
     outcome.mReason = "ended";
--- a/Source/Entry/TargetExchange.h
+++ b/Source/Entry/TargetExchange.h
@@ -22,6 +22,8 @@
   Kind mKind = Kind::kBroken;
   std::string mTarget;
   std::string mReason;
+  /// See DescribeEnd().
+  const char* mAnswerEnd = "";
   http::response<http::string_body> mResponse;
 };
 
@@ -56,6 +58,12 @@
   bool mAborted = false;
 };
 
+/// Describes for the log how an answer ended, where reading it returned aError:
+/// "marked" by its length or last chunk, "end_of_connection" if it is unmarked,
+/// "cut_off" before its end, "reset" or "error".
+const char*
+DescribeEnd(const error_code& aError, bool aUnmarked);
+
 /// Reads from aConnection up to the header of the answer to request aId, and
 /// discards interim answers and late answers to other requests. On success
 /// aParser holds the header.
--- a/Tests/Entry/RelayWorld.cxx
+++ b/Tests/Entry/RelayWorld.cxx
@@ -1,7 +1,7 @@
 #include "Entry/RelayWorld.h"
 
 #include <cppunit/TestAssert.h>
-#include <fcntl.h>
+#include <sys/mman.h>
 #include <unistd.h>
 
 namespace ragwortdeck {
@@ -137,7 +137,8 @@
 
 RelayWorld::RelayWorld(std::unique_ptr<PlatformCodec> aCodec)
   : mIo(1)
-  , mLog(mClock, open("/dev/null", O_WRONLY))
+  , mLogFile(memfd_create("log", MFD_CLOEXEC))
+  , mLog(mClock, mLogFile)
   , mCodec(std::move(aCodec))
   , mEntry(std::make_unique<EntryContext>(mIo,
                                           mClock,
@@ -156,6 +157,17 @@
   }
   while (mIo.poll() > 0) {
   }
+  close(mLogFile);
+}
+
+std::string
+RelayWorld::Log() const
+{
+  std::string text(static_cast<std::size_t>(lseek(mLogFile, 0, SEEK_END)),
+                   '\0');
+  const auto n = pread(mLogFile, text.data(), text.size(), 0);
+  CPPUNIT_ASSERT_EQUAL(static_cast<ssize_t>(text.size()), n);
+  return text;
 }
 
 ScriptedTarget&
--- a/Tests/Entry/RelayWorld.h
+++ b/Tests/Entry/RelayWorld.h
@@ -69,6 +69,8 @@
   /// takes too long.
   void RunUntil(const std::function<bool()>& aDone);
   EntryContext& Context() { return *mEntry; }
+  /// All log lines so far.
+  std::string Log() const;
 
   /// A request on the route aKind: "safe", "unsafe", "long" or "short".
   static std::string Request(const std::string& aKind,
@@ -84,6 +86,7 @@
 private:
   asio::io_context mIo;
   BootClock mClock;
+  int mLogFile;
   DecisionLog mLog;
   std::unique_ptr<PlatformCodec> mCodec;
   std::unique_ptr<EntryContext> mEntry;
