Entry: Complete an unmarked stream at the end of its connection

Callers lost whole streams: an engine that answers with neither a length nor chunks and ends with its connection had finished, but the caller's connection was closed without the last chunk, so the answer was incomplete, and a stream that may be resumed was generated once more elsewhere.

Cause: RelayEvents() took every such end for a break, since it could not be told from a lost connection. It can be: a reset is reported as such, and a stream that ends inside an event has been broken off.

An end of the connection between two events now completes the stream. It does not if the generation had not begun (a head or comments only: a whole generation has at least one event, so 502 or an incomplete stream is the safe reading), inside an event, after a reset, or if the engine may have been stopped for the last copy of a move, which closes the stream in the same way. In that case the run waits for the engine's reply: with a handle it goes on at the destination; if the engine knows no such run, it had ended, and the stream is complete; without a reply that settles it, it counts as broken off.

Plain answers were right already: whole at the end of the connection, 502 after a reset (UnmarkedAnswersTest::TestPlainAnswer passed before).

Tests: TestWholeStreamIsNotCutOff and TestStreamThatIsMoved failed before (no last chunk; a moved stream whose second engine answers unmarked was cut) and pass. TestBrokenStreamIsNotComplete passed before and after.

--- a/Source/Entry/StreamRun.cxx
+++ b/Source/Entry/StreamRun.cxx
@@ -546,9 +546,20 @@
   }
   mRequest->mAnswerEnd =
     events.HasPartial() ? "inside_event" : DescribeEnd({}, aParser->need_eof());
-  if (events.HasPartial() || aParser->need_eof()) {
-    // Without a length or chunks, the end of the stream cannot be distinguished
-    // from a lost connection.
+  // An unmarked stream is complete where its connection ends between events,
+  // unless the engine was stopped there or the generation had not begun.
+  bool brokenOff = events.HasPartial();
+  if (!brokenOff && aParser->need_eof()) {
+    aConnection->Close();
+    if (mMayBeStopped) {
+      co_await WaitForMove();
+    }
+    if (mMayBeStopped) {
+      mRequest->mAnswerEnd = "stopped";
+    }
+    brokenOff = first || mMayBeStopped;
+  }
+  if (brokenOff) {
     mRequest->mReason = mEngine.mId + ": stream ended early";
     aConnection->Close();
     co_return SendResult::kBroken;
@@ -707,6 +718,8 @@
       co_return false;
     }
     const auto began = mContext.Now();
+    const bool mightBeStopped = mMayBeStopped;
+    mMayBeStopped = mMayBeStopped || last;
     auto reply = co_await mContext.mCalls.Call(
       source.mEndpoint,
       mContext.mCodec.MoveCall(
@@ -730,6 +743,7 @@
     const auto status = reply.value().mStatus;
     if (status == kStatusOk && !last) {
       last = true;
+      mMayBeStopped = false;
       NotifyFirstCopyDone();
       while (!mRequest->HasEnded() && mConnection && !mPlan.mMayStop() &&
              mContext.Now() < mPlan.mLatestStop) {
@@ -742,6 +756,7 @@
       if (!move) {
         // Without a handle the run goes on at its engine: the destination has
         // gone since the first copy, and another one may still be reached.
+        mMayBeStopped = mightBeStopped || status == kStatusOk;
         co_return status != kStatusOk;
       }
       // If the destination has no room, the source keeps the memory.
@@ -750,8 +765,9 @@
       co_return false;
     }
     if (status == kStatusNotFound || status == kStatusConflict) {
-      // The engine still processes the prompt, or makes another copy; the other
-      // runs do not wait for this one.
+      // The engine still processes the prompt, has completed the run, or makes
+      // another copy; the other runs do not wait for this one.
+      mMayBeStopped = mightBeStopped;
       NotifyFirstCopyDone();
       if (status == kStatusNotFound && last) {
         co_return false;
@@ -764,8 +780,8 @@
   co_return false;
 }
 
-Task<std::optional<StreamRun::MovedRun>>
-StreamRun::AwaitMove()
+Task<void>
+StreamRun::WaitForMove()
 {
   const auto until = mContext.Now() + kMoveTimeout;
   while (mMoving && !mMoved && !mRequest->HasEnded() &&
@@ -775,6 +791,12 @@
     error_code ec;
     co_await mSignal.async_wait(RedirectError(ec));
   }
+}
+
+Task<std::optional<StreamRun::MovedRun>>
+StreamRun::AwaitMove()
+{
+  co_await WaitForMove();
   co_return std::exchange(mMoved, std::nullopt);
 }
 
@@ -783,6 +805,7 @@
 {
   const auto source = mEngine;
   SetEngine(aMoved.mDestination, true);
+  mMayBeStopped = false;
   ReleaseMoveReservation();
   mContext.mMetrics.Count("entry_moves_total");
   auto sent = co_await SendOnce(aMoved.mMemory);
--- a/Source/Entry/StreamRun.h
+++ b/Source/Entry/StreamRun.h
@@ -119,6 +119,8 @@
     /// The engine that holds the memory or can fetch it.
     Target mDestination;
   };
+  /// Waits until the move in progress has ended or the run can continue.
+  Task<void> WaitForMove();
   /// Waits for a move in progress; empty when the run cannot continue.
   Task<std::optional<MovedRun>> AwaitMove();
   Task<SendResult> ResumeAfterMove(MovedRun aMoved);
@@ -163,6 +165,8 @@
   bool mMoving = false;
   MovePlan mPlan;
   std::optional<MovedRun> mMoved;
+  /// The engine was called to stop the run and has not stated that it goes on.
+  bool mMayBeStopped = false;
 };
 
 } // namespace ragwortdeck
