Entry: Keep a silent stream until another engine takes it

Callers saw a stream that may be resumed break off, though its engine was sound.

Cause: after 1.08 s without an event (gap goal of 180 ms) the host closed the connection to the engine before it knew of another one. If no other engine had room, none could be reached or the next one refused, the stream had nowhere to go and the caller's connection was closed.

- LongestSilence() is at least 1.5 s: above "a second or so", and below the 2 s that callers wait at least.
- An engine is given up only if another one has room.
- If no other engine takes the stream, or the one that does refuses, the stream goes on at the engine that fell silent.
That is no further engine, so the route's limit holds; a send after a refusal is charged to the allowance of retries (entry_returns_total counts these sends).
- The charge made when an engine is given up covers one send.
It used to stay when that send could not be made, so that a later failure passed the route's limit unchecked.

Not changed: a second engine is not tried beside the silent one, which may still work on the request.

PlacementTest:: TestLongestSilence asserted 1,080 and 900 ms, which the new rule forbids; these inputs now have to give 1,500 ms, and a gap goal of 400 ms checks the factor of six in their place.

--- a/Source/Entry/StreamRun.cxx
+++ b/Source/Entry/StreamRun.cxx
@@ -238,14 +238,18 @@
   int unreachable = 0;
   bool mayHaveRun = false;
   bool wasFull = false;
+  bool returns = false;
   while (!mRequest->HasEnded()) {
-    if (!co_await WaitForEngine()) {
+    const bool placed =
+      !std::exchange(returns, false) && co_await WaitForEngine();
+    if (!placed && !ReturnToSilentEngine()) {
       break;
     }
     if (mRequest->HasEnded()) {
       break;
     }
     ++mRequest->mAttempts;
+    mRetryCharged = false;
     auto sent = co_await SendOnce(std::nullopt);
     while (sent == SendResult::kBroken && !mRequest->HasEnded()) {
       auto moved = co_await AwaitMove();
@@ -277,8 +281,13 @@
     }
     mayHaveRun = mayHaveRun || sent == SendResult::kBroken;
     wasFull = wasFull || sent == SendResult::kNotRun;
-    if (!std::exchange(mRetryCharged, false) && !TryNextEngine()) {
-      break;
+    if (!mRetryCharged && !TryNextEngine()) {
+      // The refusal ran nothing, and the engine that fell silent may be sound.
+      returns = sent == SendResult::kNotRun && !mSilentEngine.empty() &&
+                mContext.TryRetry(mRequest->mService);
+      if (!returns) {
+        break;
+      }
     }
     mContext.mMetrics.Count("entry_retries_total");
   }
@@ -333,8 +342,9 @@
       const auto now = run->mContext.Now();
       if (now < run->mProgressDue) {
         run->CheckProgress(aConnection);
-      } else if (!run->mMoving && run->TryNextEngine()) {
+      } else if (run->HasOtherEngine() && run->TryNextEngine()) {
         run->mRetryCharged = true;
+        run->mSilentEngine = run->mEngine.mId;
         aConnection->Close();
       } else {
         // There is no other engine to go on at, and this one may still answer.
@@ -344,6 +354,33 @@
     });
 }
 
+bool
+StreamRun::HasOtherEngine()
+{
+  if (mMoving) {
+    return false;
+  }
+  auto excluded = mExcluded;
+  excluded.insert(mEngine.mId);
+  return ChooseTarget(
+           excluded, mContext.mSettings.mFailureDomain, kOtherDomainPenaltyMs)
+    .has_value();
+}
+
+bool
+StreamRun::ReturnToSilentEngine()
+{
+  const auto* silent = mContext.mTargets.Find(std::exchange(mSilentEngine, {}));
+  if (!silent || silent->mLeaving || mRequest->HasEnded()) {
+    return false;
+  }
+  mExpectedFirstToken =
+    ExpectedFirstToken(mContext.mLoad.TotalOn(silent->mTarget.mId), Need());
+  SetEngine(silent->mTarget, false);
+  mContext.mMetrics.Count("entry_returns_total");
+  return true;
+}
+
 Milliseconds
 StreamRun::Patience() const
 {
--- a/Source/Entry/StreamRun.h
+++ b/Source/Entry/StreamRun.h
@@ -90,6 +90,12 @@
                      MonotonicTime aDue);
   void CheckProgress(const TargetConnectionPtr& aConnection);
   void RecordProgress(MonotonicTime aNow);
+  /// Whether an engine other than the current one has room for this run, which
+  /// is not being moved.
+  bool HasOtherEngine();
+  /// Chooses the engine that was given up for its silence once more; false when
+  /// there is none or it has left.
+  bool ReturnToSilentEngine();
   /// How long the stream may make no progress.
   Milliseconds Patience() const;
   /// Whether the request may be sent to one more engine; charges the retry
@@ -159,6 +165,8 @@
   bool mHasEventOfRun = false;
   /// The retry allowance was charged when the engine was given up.
   bool mRetryCharged = false;
+  /// The engine that was given up for its silence.
+  std::string mSilentEngine;
   /// Cancelled to wake the coroutine that waits.
   asio::steady_timer mSignal;
 
--- a/Source/Serving/SilenceWatch.cxx
+++ b/Source/Serving/SilenceWatch.cxx
@@ -37,8 +37,8 @@
 {
   constexpr int kGapGoalFactor = 6;
   constexpr int kSeenGapFactor = 3;
-  // A prefill on the same engine delays single events by this much.
-  constexpr Milliseconds kMinSilence{ 900 };
+  // A sound engine may pause for about a second; callers wait for 2 s or more.
+  constexpr Milliseconds kMinSilence{ 1500 };
   return std::max(
     { kMinSilence,
       aGapGoal * kGapGoalFactor,
--- a/Tests/Entry/RelayWorld.cxx
+++ b/Tests/Entry/RelayWorld.cxx
@@ -55,6 +55,7 @@
   : mContext(aContext)
   , mId(std::move(aId))
   , mAcceptor(aContext, tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0))
+  , mPort(mAcceptor.local_endpoint().port())
 {
   asio::co_spawn(mContext, Accept(), asio::detached);
 }
@@ -65,7 +66,7 @@
   Target target;
   target.mId = mId;
   target.mService = aService;
-  target.mEndpoint = { "127.0.0.1", mAcceptor.local_endpoint().port() };
+  target.mEndpoint = { "127.0.0.1", mPort };
   target.mFailureDomain = "a";
   target.mSlots = 6;
   return target;
--- a/Tests/Entry/RelayWorld.h
+++ b/Tests/Entry/RelayWorld.h
@@ -20,6 +20,8 @@
 
   Target Describe(const std::string& aService) const;
   void AddScript(Script aScript) { mScripts.push_back(std::move(aScript)); }
+  /// Connections are refused from now on.
+  void StopListening() { mAcceptor.close(); }
   const std::vector<std::string>& Requests() const { return mRequests; }
   /// The host closed a connection that the last script kept open.
   bool PeerClosed() const { return mPeerClosed; }
@@ -33,6 +35,7 @@
   asio::io_context& mContext;
   std::string mId;
   tcp::acceptor mAcceptor;
+  std::uint16_t mPort;
   std::deque<Script> mScripts;
   std::vector<std::string> mRequests;
   bool mPeerClosed = false;
--- a/Tests/Serving/PlacementTest.cxx
+++ b/Tests/Serving/PlacementTest.cxx
@@ -671,10 +671,14 @@
   void TestLongestSilence()
   {
     Section("a stuck engine is given up after some times the goal", [&] {
+      CPPUNIT_ASSERT(LongestSilence(milliseconds(400), milliseconds(40)) ==
+                     milliseconds(2400));
+    });
+    Section("a sound engine that pauses for a second is not", [&] {
       CPPUNIT_ASSERT(LongestSilence(milliseconds(180), milliseconds(40)) ==
-                     milliseconds(1080));
+                     milliseconds(1500));
       CPPUNIT_ASSERT(LongestSilence(milliseconds(20), milliseconds(0)) ==
-                     milliseconds(900));
+                     milliseconds(1500));
     });
     Section("an engine that has shown longer gaps keeps its stream", [&] {
       CPPUNIT_ASSERT(LongestSilence(milliseconds(180), milliseconds(700)) ==
