Entry: Answer a request that an unexpected error has ended

A request that had been read whole got neither an answer nor a refusal when an exception ended its coroutine: the caller's connection was closed, though nothing had been sent on it.

The exception still ends only this request. If no byte of an answer has been sent, the caller now gets a 502, which does not deny that the request ran, and the connection is closed after it. If the answer has begun, nothing is added to it and the stream stays incomplete. Whether it has begun is kept with the request, where the answer and the stream both set it. The request gets its log line, with "unexpected error: ..." as reason.

Tests: FieldFailuresTest::TestUnexpectedErrors asserted an empty reply for a stream; it now asserts the 502, the closed connection and the log line, which is stricter, and failed before. New sections: an error before the request is admitted, and one in a stream that has begun.

--- a/Source/Entry/CallerRequest.h
+++ b/Source/Entry/CallerRequest.h
@@ -18,6 +18,8 @@
     kNone,
     kCallerGone,
     kTimedOut,
+    /// An unexpected error ended it.
+    kFailed,
   };
 
   /// Ends the request early and cancels what it waits for.
@@ -50,6 +52,8 @@
   End mEnd = End::kNone;
   /// The request has been served; the connection may carry the next one.
   bool mServed = false;
+  /// Bytes of its answer have been sent to the caller.
+  bool mAnswerBegun = false;
   /// Cancels what the request waits for.
   std::function<void()> mOnEnd;
 
--- a/Source/Entry/CallerSession.cxx
+++ b/Source/Entry/CallerSession.cxx
@@ -94,15 +94,19 @@
     }
     const ActiveRequest active(mContext, *request);
     bool keepOpen = false;
+    bool failed = false;
     try {
       keepOpen = co_await Serve(request);
     } catch (const std::exception& ec) {
-      // How far the request got is not known, so the connection is closed,
-      // which promises nothing.
+      failed = true;
       request->mOnEnd = nullptr;
-      request->Finish(CallerRequest::End::kCallerGone);
+      request->Finish(CallerRequest::End::kFailed);
+      request->mReason = std::string("unexpected error: ") + ec.what();
       mContext.LogUnexpectedError(request->mCallerHeaders.mId.c_str(), ec);
     }
+    if (failed) {
+      co_await AnswerAfterError(*request);
+    }
     if (!keepOpen) {
       break;
     }
@@ -112,6 +116,23 @@
   mStream.close();
 }
 
+Task<void>
+CallerSession::AnswerAfterError(CallerRequest& aRequest)
+{
+  StopWatching(aRequest);
+  if (aRequest.mEnd == CallerRequest::End::kCallerGone) {
+    co_return;
+  }
+  if (aRequest.mAnswerBegun) {
+    LogEnd(aRequest, kStatusOk, "stream_broken");
+    co_return;
+  }
+  // The request may have run, which this status does not deny.
+  aRequest.mRequest.keep_alive(false);
+  co_await Answer(aRequest,
+                  MakeLocalAnswer(kStatusBadGateway, "unexpected error"));
+}
+
 Task<bool>
 CallerSession::ReadRequest(CallerRequest& aRequest)
 {
@@ -293,6 +314,17 @@
   }
 }
 
+void
+CallerSession::StopWatching(CallerRequest& aRequest)
+{
+  aRequest.mServed = true;
+  if (mWatching) {
+    mWatching = false;
+    error_code ec;
+    mStream.socket().cancel(ec);
+  }
+}
+
 Task<bool>
 CallerSession::Serve(std::shared_ptr<CallerRequest> aRequest)
 {
@@ -326,12 +358,7 @@
     answer = co_await relay->Run();
   }
   deadline.cancel();
-  aRequest->mServed = true;
-  if (mWatching) {
-    mWatching = false;
-    error_code ec;
-    mStream.socket().cancel(ec);
-  }
+  StopWatching(*aRequest);
   if (aRequest->mEnd == CallerRequest::End::kCallerGone) {
     LogEnd(*aRequest, 0, "caller_gone");
     co_return false;
@@ -362,6 +389,7 @@
          aAnswer.mFromTarget
            ? "answered"
            : (status == kStatusUnavailable ? "refused" : "failed"));
+  aRequest.mAnswerBegun = true;
   mStream.expires_after(kAnswerTimeout);
   error_code ec;
   co_await http::async_write(mStream, response, RedirectError(ec));
--- a/Source/Entry/CallerSession.h
+++ b/Source/Entry/CallerSession.h
@@ -22,10 +22,15 @@
   /// Returns the answer of a denied request; empty when it is admitted.
   std::optional<FinalAnswer> Admit(CallerRequest& aRequest);
   Task<bool> Answer(CallerRequest& aRequest, FinalAnswer aAnswer);
+  /// Answers a request that an exception has ended, if nothing has been sent to
+  /// the caller.
+  Task<void> AnswerAfterError(CallerRequest& aRequest);
   /// Answers a request that could not be read; the connection then closes.
   Task<void> Reject(unsigned aStatus, std::string aText);
   /// Ends aRequest when the caller closes the connection.
   void EndWhenCallerCloses(const std::shared_ptr<CallerRequest>& aRequest);
+  /// Ends the watch of EndWhenCallerCloses().
+  void StopWatching(CallerRequest& aRequest);
   /// Writes the log line and the metrics of a request that has ended.
   void LogEnd(const CallerRequest& aRequest,
               unsigned aStatus,
--- a/Source/Entry/CallerStream.cxx
+++ b/Source/Entry/CallerStream.cxx
@@ -15,10 +15,10 @@
 std::string
 CallerStream::TakeHead()
 {
-  if (mBegun || !mHead) {
+  if (HasBegun() || !mHead) {
     return {};
   }
-  mBegun = true;
+  mRequest.mAnswerBegun = true;
   std::ostringstream out;
   out << mHead->base();
   return out.str();
--- a/Source/Entry/CallerStream.h
+++ b/Source/Entry/CallerStream.h
@@ -11,8 +11,9 @@
   /// A write that takes longer fails; the caller counts as gone.
   static constexpr std::chrono::seconds kWriteTimeout{ 8 };
 
-  explicit CallerStream(beast::tcp_stream& aStream)
+  CallerStream(beast::tcp_stream& aStream, CallerRequest& aRequest)
     : mStream(aStream)
+    , mRequest(aRequest)
   {
   }
 
@@ -21,7 +22,7 @@
   void SetHead(http::response<http::empty_body> aHead);
   bool HasHead() const { return mHead.has_value(); }
   /// The header has been sent.
-  bool HasBegun() const { return mBegun; }
+  bool HasBegun() const { return mRequest.mAnswerBegun; }
   Task<error_code> WriteEvent(std::string aBytes);
   /// Sends the last chunk, which marks the answer as complete.
   Task<error_code> Complete();
@@ -31,8 +32,8 @@
   std::string TakeHead();
 
   beast::tcp_stream& mStream;
+  CallerRequest& mRequest;
   std::optional<http::response<http::empty_body>> mHead;
-  bool mBegun = false;
 };
 
 } // namespace ragwortdeck
--- a/Source/Entry/StreamRun.cxx
+++ b/Source/Entry/StreamRun.cxx
@@ -69,7 +69,7 @@
                      beast::tcp_stream& aCaller)
   : mContext(aContext)
   , mRequest(std::move(aRequest))
-  , mCaller(aCaller)
+  , mCaller(aCaller, *mRequest)
   , mId(aContext.mNextRun++)
   , mMoveReservationId(aContext.mNextRun++)
   , mLastEventId(mRequest->mCallerHeaders.mLastEventId)
--- a/Tests/Entry/FieldFailuresTest.cxx
+++ b/Tests/Entry/FieldFailuresTest.cxx
@@ -71,15 +71,31 @@
 class ThrowingCodec : public FleetCodec
 {
 public:
+  /// The first aSound reads of an answer to the request "bad" do not fail.
+  explicit ThrowingCodec(int aSound = 0)
+    : mSound(aSound)
+  {
+  }
+  CallerHeaders ReadCallerHeaders(const HttpFields& aFields) const override
+  {
+    auto headers = FleetCodec::ReadCallerHeaders(aFields);
+    if (headers.mId == "unreadable") {
+      throw std::runtime_error("unforeseen");
+    }
+    return headers;
+  }
   TargetResponseHeaders ReadTargetResponseHeaders(
     const HttpFields& aFields) const override
   {
     auto headers = FleetCodec::ReadTargetResponseHeaders(aFields);
-    if (headers.mId == "bad") {
+    if (headers.mId == "bad" && mSound-- <= 0) {
       throw std::runtime_error("unforeseen");
     }
     return headers;
   }
+
+private:
+  mutable int mSound;
 };
 
 /// \brief Replays failures that operators of similar systems have reported; see
@@ -497,10 +513,41 @@
         CPPUNIT_ASSERT(
           world.Reply(*caller, "\r\n\r\n").starts_with("HTTP/1.1 502"));
       });
-    Section("an exception while a stream is served promises nothing", [&] {
+    Section("an exception while a stream is served: it may have run", [&] {
       const auto caller = world.Call(RelayWorld::Request("long", "bad"));
-      CPPUNIT_ASSERT(world.Reply(*caller, "\r\n\r\n").empty());
+      const auto reply = world.Reply(*caller, "never sent");
+      CPPUNIT_ASSERT(reply.starts_with("HTTP/1.1 502"));
+      CPPUNIT_ASSERT(Contains(reply, "Connection: close\r\n"));
       CPPUNIT_ASSERT(world.Context().mActive.empty());
+      CPPUNIT_ASSERT(
+        Contains(world.Log(), R"("reason":"unexpected error: unforeseen")"));
+    });
+    Section("an exception before the request is admitted", [&] {
+      RelayWorld unadmitted(std::make_unique<ThrowingCodec>());
+      unadmitted.Start();
+      const auto caller =
+        unadmitted.Call(RelayWorld::Request("long", "unreadable"));
+      CPPUNIT_ASSERT(
+        unadmitted.Reply(*caller, "\r\n\r\n").starts_with("HTTP/1.1 502"));
+    });
+    Section("an exception in a stream that has begun adds nothing to it", [&] {
+      // Each answer's header is read twice.
+      RelayWorld begun(std::make_unique<ThrowingCodec>(2));
+      for (const auto* id : { "t1", "t2" }) {
+        begun.AddTarget(id).AddScript(
+          [](tcp::socket& aSocket, const std::string&) {
+            WriteAll(aSocket,
+                     RelayWorld::StreamHead("bad") + RelayWorld::Event(1));
+            return false;
+          });
+      }
+      begun.Start();
+      const auto caller = begun.Call(RelayWorld::Request("short", "bad"));
+      const auto reply = begun.Reply(*caller, kEndOfStream);
+      CPPUNIT_ASSERT(Contains(reply, "id: 1\n"));
+      CPPUNIT_ASSERT(!Contains(reply, kEndOfStream));
+      CPPUNIT_ASSERT(reply.find("HTTP/1.1", 1) == std::string::npos);
+      CPPUNIT_ASSERT(Contains(begun.Log(), R"("outcome":"stream_broken")"));
     });
     Section("the next request is served", [&] {
       const auto caller = world.Call(RelayWorld::Request("unsafe", "good"));
