Entry: Apply the limits in force when a request arrives

Beside a change of the table, a proper request on a kept connection could be rejected with 413 or 431: its limits were those of the table that was in force when the connection became idle, which may be many seconds old.

The limits of header, body and time are now read once the first byte of the request has arrived. The idle timeout is still the one in force when the wait began.

Tests: TableChangeTest::TestIdleConnectionKeepsOldLimits failed before and passes. TestRequestInProgress, which takes the route and the key away from a plain request at its server, a stream that has begun, one that waits for an engine and a request whose body is arriving, passed before and after: none of these is dropped.

--- a/Source/Entry/CallerSession.cxx
+++ b/Source/Entry/CallerSession.cxx
@@ -133,14 +133,19 @@
                   MakeLocalAnswer(kStatusBadGateway, "unexpected error"));
 }
 
+CallerLimits
+CallerSession::Limits() const
+{
+  const auto table = mContext.mTable.Table();
+  return table ? table->Limits() : kLimitsWithoutTable;
+}
+
 Task<bool>
 CallerSession::ReadRequest(CallerRequest& aRequest)
 {
-  const auto table = mContext.mTable.Table();
-  const auto limits = table ? table->Limits() : kLimitsWithoutTable;
   error_code ec;
   if (mBuffer.size() == 0) {
-    mStream.expires_after(limits.mIdleTimeout + kIdleSlack);
+    mStream.expires_after(Limits().mIdleTimeout + kIdleSlack);
     const auto n = co_await mStream.async_read_some(
       mBuffer.prepare(static_cast<std::size_t>(4096)), RedirectError(ec));
     if (ec) {
@@ -149,6 +154,8 @@
     mBuffer.commit(n);
   }
   const InFlight reading(mContext.mReading);
+  // The table may have changed while the connection was idle.
+  const auto limits = Limits();
   mStream.expires_after(limits.mHeaderTimeout);
   http::request_parser<http::string_body> parser;
   parser.header_limit(static_cast<std::uint32_t>(limits.mHeaderBytes));
--- a/Source/Entry/CallerSession.h
+++ b/Source/Entry/CallerSession.h
@@ -15,6 +15,7 @@
   Task<void> Run();
 
 private:
+  CallerLimits Limits() const;
   Task<bool> ReadRequest(CallerRequest& aRequest);
   /// Waits for the table and the targets when this host has just started.
   Task<void> WaitForContents(const CallerRequest& aRequest);
