Entry: Do not run a stopped stream again at a third engine

Found while reading for requests that end without an answer; the opposite fault. A stream that may run once was stopped for a move, and then neither the destination nor the source could be reached. That counted as "nothing was sent", so the request was sent to a third engine and ran a second time; before the first event it could have been refused as not run.

The result of a resumed run is now "broken" also in this case, as after a refusal: the request has run.

--- a/Source/Entry/StreamRun.cxx
+++ b/Source/Entry/StreamRun.cxx
@@ -852,7 +852,10 @@
     SetEngine(source, true);
     sent = co_await SendOnce(aMoved.mMemory);
   }
-  co_return sent == SendResult::kNotRun ? SendResult::kBroken : sent;
+  // The run was stopped, so the request has run whatever the engines state now.
+  co_return sent == SendResult::kNotRun || sent == SendResult::kNotSent
+    ? SendResult::kBroken
+    : sent;
 }
 
 } // namespace ragwortdeck
