Entry: Treat a target as leaving that says so in an answer

What callers saw: a server that leaves now states it in the header of all its answers. The hosts ignored that and went on sending requests there until the store's list showed it, which may take long while the store is impaired; these requests end with the server.

Cause: only the target list and an engine's own report said that a target is leaving. A report held for ever against the list, also after the target had started again under the same id.

Change: the header of every answer of a target is read: plain answers, errors, refusals, stream heads, late answers to other requests, and the answers to calls. Only the value 1 counts, the one that is defined; answers with 421 do not, since they come from another target at the same address. The target is leaving at once, whatever the list says; the other hosts are told as of an engine's report, and its streams are moved. A target that was chosen before the notice is looked at once more when the connection is open. A run that was stopped for a move may be resumed at a leaving target until 0.3 s before bounds.drain_ms has passed.

The start of a target (born) is kept: a later one ends the notice, and a list entry or report of an earlier one changes nothing. A start that is missing or no whole number is not known and changes nothing. The notice of a target that is not listed takes effect when it is.

Known limit: if a target started again and says in its new life that it is leaving, while the host still lists its former start, the entry of the new start ends that notice; the next answer restores it. The answer does not state the start.

Checked: with the new decisions disabled TargetNoticeTest (4 tests) and the new tests of TableTest fail; with this commit test-serving (48), test-fleetcodec (7) and test-entry (34) pass. The fleet codec's tests were not run without the change. Format and names checked.

--- a/Source/Entry/CallClient.cxx
+++ b/Source/Entry/CallClient.cxx
@@ -48,11 +48,13 @@
                                                   : ErrorCode::kUnavailable,
                       ToText(aTo) + ": " + ec.message());
   }
-  CallReply reply{ parser.get().result_int(), std::move(parser.get().body()) };
   if (parser.get().keep_alive()) {
     mPool.Release(connection, KeepAliveSeconds(parser.get()));
   }
-  co_return reply;
+  auto response = parser.release();
+  co_return CallReply{ response.result_int(),
+                       std::move(response.body()),
+                       std::move(response.base()) };
 }
 
 } // namespace ragwortdeck
--- a/Source/Entry/CallClient.h
+++ b/Source/Entry/CallClient.h
@@ -10,6 +10,7 @@
 {
   unsigned mStatus = 0;
   std::string mBody;
+  HttpFields mHeaders;
 };
 
 /// \brief Makes short HTTP calls to the store, and to an engine about a run.
--- a/Source/Entry/EntryContext.cxx
+++ b/Source/Entry/EntryContext.cxx
@@ -1,5 +1,6 @@
 #include "Entry/EntryContext.h"
 
+#include "Core/HttpStatus.h"
 #include "Entry/CallerRequest.h"
 
 namespace ragwortdeck {
@@ -118,6 +119,55 @@
   return open;
 }
 
+void
+EntryContext::RecordNotices(const Target& aTarget,
+                            unsigned aStatus,
+                            const HttpFields& aHeader)
+{
+  if (aStatus == kStatusMisdirected) {
+    // Another target has the address.
+    return;
+  }
+  const auto headers = mCodec.ReadTargetResponseHeaders(aHeader);
+  const auto now = Now();
+  if (headers.mLeaving &&
+      mTargets.MarkLeaving(aTarget.mId, aTarget.mBorn, now)) {
+    mMetrics.Count("entry_leaving_answers_total");
+    mLog.Write(
+      "target_answered_leaving",
+      { { "target", aTarget.mId },
+        { "status", aStatus },
+        { "list_age_ms",
+          std::chrono::duration_cast<Milliseconds>(mTargets.ListAge(now))
+            .count() } });
+    if (mOnSaidLeaving) {
+      mOnSaidLeaving(aTarget);
+    }
+  }
+}
+
+bool
+EntryContext::MaySend(const Target& aTarget,
+                      bool aResumes,
+                      const std::string& aRequest)
+{
+  // Margin for the way to the target.
+  constexpr std::chrono::milliseconds kMargin(300);
+  const auto resumeTime =
+    aResumes ? std::max<Duration>(Duration(0), mSettings.mDrainTime - kMargin)
+             : Duration(0);
+  if (mTargets.Accepts(aTarget.mId, resumeTime, Now())) {
+    return true;
+  }
+  mMetrics.Count("entry_withheld_sends_total");
+  mLog.Write("send_withheld",
+             { { "id", aRequest },
+               { "target", aTarget.mId },
+               { "why", "leaving" },
+               { "resumes", aResumes } });
+  return false;
+}
+
 bool
 EntryContext::TryRetry(const std::string& aService)
 {
--- a/Source/Entry/EntryContext.h
+++ b/Source/Entry/EntryContext.h
@@ -99,6 +99,16 @@
   /// The targets of a service that accept new requests.
   std::vector<const TargetDirectory::Entry*> OpenTargets(
     const std::string& aService) const;
+  /// Takes what aTarget says of itself in the header of one of its answers.
+  void RecordNotices(const Target& aTarget,
+                     unsigned aStatus,
+                     const HttpFields& aHeader);
+  /// Whether a request that aTarget was chosen for may still be sent there;
+  /// aResumes means that it continues a stopped run. Logs a request that may
+  /// not.
+  bool MaySend(const Target& aTarget,
+               bool aResumes,
+               const std::string& aRequest);
   /// Whether a request to aService may be sent again now. A permitted retry is
   /// charged to the allowance.
   bool TryRetry(const std::string& aService);
@@ -133,6 +143,8 @@
   /// Running streams by their id, unique on this host.
   std::map<std::uint64_t, StreamRun*> mStreams;
   std::uint64_t mNextRun = 1;
+  /// Called with a target that is leaving since it said so in an answer.
+  std::function<void(const Target&)> mOnSaidLeaving;
   /// Returns the number of known hosts, including this one.
   std::function<std::size_t()> mCountHosts;
   /// Bytes of targets' answers in memory.
--- a/Source/Entry/EntrySettings.cxx
+++ b/Source/Entry/EntrySettings.cxx
@@ -35,6 +35,8 @@
     "key_removal_ms", settings.mKeyRemoval, kMinDuration, kMaxDuration);
   settings.mTableChange = bounds.Milliseconds(
     "table_change_ms", settings.mTableChange, kMinDuration, kMaxDuration);
+  settings.mDrainTime = bounds.Milliseconds(
+    "drain_ms", settings.mDrainTime, kMinDuration, kMaxDuration);
   const auto seconds = [&](const char* aKey, double aFallback) {
     return std::chrono::milliseconds(static_cast<std::int64_t>(
       bounds.Number(aKey, aFallback, 0, kMaxSeconds) * kMillisecondsPerSecond));
--- a/Source/Entry/EntrySettings.h
+++ b/Source/Entry/EntrySettings.h
@@ -29,6 +29,8 @@
   std::chrono::milliseconds mKeyRemoval{ 5000 };
   /// A change of the table must take effect within this time.
   std::chrono::milliseconds mTableChange{ 2000 };
+  /// A leaving target takes requests for this long after its notice.
+  std::chrono::milliseconds mDrainTime{ 2000 };
   std::chrono::milliseconds mShutdownGrace{ 8000 };
   FleetRetryAllowance::Bounds mRetries;
 
--- a/Source/Entry/HostMessage.h
+++ b/Source/Entry/HostMessage.h
@@ -111,6 +111,9 @@
   /// No first copy of the sender's plans is awaited any more: the receiver's
   /// streams may stop for their last copies.
   bool mAllCopied = false;
+  /// The starts (Target::mBorn) of the targets of mReportedLeaving, as far as
+  /// they are known.
+  std::map<std::string, std::int64_t> mLeavingBorn;
 
   MSGPACK_DEFINE_ARRAY(mHost,
                        mIncarnation,
@@ -142,7 +145,8 @@
                        mLiveHosts,
                        mAcceptsMerged,
                        mMerged,
-                       mAllCopied)
+                       mAllCopied,
+                       mLeavingBorn)
 };
 
 } // namespace ragwortdeck
--- a/Source/Entry/PlatformCodec.h
+++ b/Source/Entry/PlatformCodec.h
@@ -70,6 +70,8 @@
   bool mNotRun = false;
   /// The response carries the target's signature.
   bool mSigned = false;
+  /// The target is leaving: it wants no new requests and will stop.
+  bool mLeaving = false;
   std::optional<ReportedLoad> mLoad;
 };
 
@@ -124,6 +126,8 @@
   bool mLeaving = false;
   /// Time until it ends, if known.
   std::optional<Milliseconds> mLeavesIn;
+  /// As Target::mBorn.
+  std::int64_t mBorn = 0;
 };
 
 /// \brief Response to a call that copies the memory of a run.
--- a/Source/Entry/SiteFeed.cxx
+++ b/Source/Entry/SiteFeed.cxx
@@ -123,6 +123,13 @@
   for (const auto& seed : mContext.mSettings.mSeeds) {
     mExchange.AddHost(seed.mAddress);
   }
+  mContext.mOnSaidLeaving = [this](const Target& aTarget) {
+    constexpr std::int64_t kTimeNotKnown = -1;
+    TellLeaving(aTarget.mId, aTarget.mBorn, kTimeNotKnown);
+    if (mOnLeaving) {
+      mOnLeaving({ aTarget.mId }, std::nullopt);
+    }
+  };
   mDiscovery.mOnFirstStart = [this] {
     DeferFirstReads(kMaxFirstListingDelay + kIntroductionTime);
   };
@@ -441,26 +448,40 @@
   }
   auto report = mContext.mCodec.ReadReport(reply.value().mBody);
   if (!report || !report.value().mLeaving) {
+    mContext.RecordNotices(
+      aEngine, reply.value().mStatus, reply.value().mHeaders);
     co_return;
   }
+  const auto born =
+    report.value().mBorn != 0 ? report.value().mBorn : aEngine.mBorn;
   const auto leavesIn = report.value().mLeavesIn;
   const std::int64_t leavesMs =
     leavesIn ? std::max<std::int64_t>(0, (*leavesIn - kReportLag).count()) : -1;
+  TellLeaving(aEngine.mId, born, leavesMs);
+  HandleReportedLeaving(aEngine.mId, born, leavesMs);
+}
+
+void
+SiteFeed::TellLeaving(const std::string& aTarget,
+                      std::int64_t aBorn,
+                      std::int64_t aLeavesMs)
+{
   mExchange.Broadcast(
     [&](HostMessage& aMessage) {
-      aMessage.mReportedLeaving = { { aEngine.mId, leavesMs } };
+      aMessage.mReportedLeaving = { { aTarget, aLeavesMs } };
+      aMessage.mLeavingBorn = { { aTarget, aBorn } };
     },
     HostExchange::Content::kState,
     MessageClass::kImportant);
-  HandleReportedLeaving(aEngine.mId, leavesMs);
 }
 
 void
 SiteFeed::HandleReportedLeaving(const std::string& aTarget,
+                                std::int64_t aBorn,
                                 std::int64_t aLeavesMs)
 {
   const auto now = mContext.Now();
-  if (!mContext.mTargets.MarkLeaving(aTarget, now)) {
+  if (!mContext.mTargets.MarkLeaving(aTarget, aBorn, now)) {
     return;
   }
   mContext.mLog.Write(
@@ -775,7 +796,9 @@
     mOnAllCopied(aMessage.mHost);
   }
   for (const auto& [target, leavesMs] : aMessage.mReportedLeaving) {
-    HandleReportedLeaving(target, leavesMs);
+    const auto it = aMessage.mLeavingBorn.find(target);
+    HandleReportedLeaving(
+      target, it == aMessage.mLeavingBorn.end() ? 0 : it->second, leavesMs);
   }
   for (const auto& engine : aMessage.mSilentEngines) {
     AvoidSilentEngine(engine, aMessage.mHost);
--- a/Source/Entry/SiteFeed.h
+++ b/Source/Entry/SiteFeed.h
@@ -50,7 +50,13 @@
   Task<void> TargetLoop();
   Task<void> EngineLoop();
   Task<void> QueryEngine(Target aEngine);
+  /// Tells the other hosts of a target's own report. aLeavesMs is the time
+  /// until it ends, -1 when not known.
+  void TellLeaving(const std::string& aTarget,
+                   std::int64_t aBorn,
+                   std::int64_t aLeavesMs);
   void HandleReportedLeaving(const std::string& aTarget,
+                             std::int64_t aBorn,
                              std::int64_t aLeavesMs);
   Task<void> TickLoop();
   Task<void> SilenceLoop();
--- a/Source/Entry/StreamRun.cxx
+++ b/Source/Entry/StreamRun.cxx
@@ -420,6 +420,11 @@
   if (mRequest->HasEnded()) {
     co_return SendResult::kNotSent;
   }
+  if (!mContext.MaySend(
+        engine, aMemory.has_value(), mRequest->mCallerHeaders.mId)) {
+    mRequest->mReason = engine.mId + ": leaving";
+    co_return SendResult::kNotSent;
+  }
   mConnection = connection;
   auto headers =
     MakeTargetRequestHeaders(*mRequest, engine.mId, mContext.Now());
@@ -437,7 +442,7 @@
                     [connection, request](const error_code&, std::size_t) {});
   std::unique_ptr<http::response_parser<http::buffer_body>> parser;
   const auto ec = co_await ReadAnswerHeader(
-    *connection, mContext.mCodec, mRequest->mCallerHeaders.mId, parser);
+    mContext, engine, *connection, mRequest->mCallerHeaders.mId, parser);
   if (ec) {
     connection->Close();
     if (!mRequest->HasEnded()) {
@@ -746,6 +751,9 @@
   const auto source = mEngine;
   bool last = false;
   while (!mRequest->HasEnded() && mConnection) {
+    if (!mContext.MaySend(aTo, false, mRequest->mCallerHeaders.mId)) {
+      co_return true;
+    }
     if (!last && !CopyEndsInTime(aTo)) {
       // The copy would delay the last copies of other runs.
       mContext.mLog.Write("move_too_late",
@@ -778,6 +786,7 @@
       co_return false;
     }
     const auto status = reply.value().mStatus;
+    mContext.RecordNotices(source, status, reply.value().mHeaders);
     if (status == kStatusOk && !last) {
       last = true;
       mMayBeStopped = false;
--- a/Source/Entry/TargetExchange.cxx
+++ b/Source/Entry/TargetExchange.cxx
@@ -88,8 +88,9 @@
 
 Task<error_code>
 ReadAnswerHeader(
+  EntryContext& aContext,
+  Target aTarget,
   TargetConnection& aConnection,
-  const PlatformCodec& aCodec,
   std::string aId,
   std::unique_ptr<http::response_parser<http::buffer_body>>& aParser)
 {
@@ -106,8 +107,9 @@
     if (status < kStatusOk) {
       continue;
     }
+    aContext.RecordNotices(aTarget, status, aParser->get());
     const auto responseHeaders =
-      aCodec.ReadTargetResponseHeaders(aParser->get());
+      aContext.mCodec.ReadTargetResponseHeaders(aParser->get());
     // A refusal may come without the id, from a target that did not read the
     // request. On a reused connection it may be the late answer to an earlier
     // request, and this one may run.
@@ -148,6 +150,11 @@
     outcome.mReason = "cannot connect";
     co_return outcome;
   }
+  if (!mContext.MaySend(aTarget, false, mRequest.mCallerHeaders.mId)) {
+    mConnection.reset();
+    outcome.mReason = "leaving";
+    co_return outcome;
+  }
   const auto headers =
     MakeTargetRequestHeaders(mRequest, aTarget.mId, mContext.Now());
   auto request = std::make_shared<http::request<http::string_body>>(
@@ -166,7 +173,7 @@
     });
   std::unique_ptr<http::response_parser<http::buffer_body>> parser;
   auto ec = co_await ReadAnswerHeader(
-    *connection, mContext.mCodec, mRequest.mCallerHeaders.mId, parser);
+    mContext, aTarget, *connection, mRequest.mCallerHeaders.mId, parser);
   std::string body;
   if (!ec) {
     if (mRequest.mRequest.method() == http::verb::head) {
--- a/Source/Entry/TargetExchange.h
+++ b/Source/Entry/TargetExchange.h
@@ -64,13 +64,15 @@
 const char*
 DescribeEnd(const error_code& aError, bool aUnmarked);
 
-/// Reads from aConnection up to the header of the answer to request aId, and
-/// discards interim answers and late answers to other requests. On success
-/// aParser holds the header.
+/// Reads from aConnection up to the header of aTarget's answer to request aId,
+/// and discards interim answers and late answers to other requests. What the
+/// target says of itself in any of them is recorded. On success aParser holds
+/// the header.
 Task<error_code>
 ReadAnswerHeader(
+  EntryContext& aContext,
+  Target aTarget,
   TargetConnection& aConnection,
-  const PlatformCodec& aCodec,
   std::string aId,
   std::unique_ptr<http::response_parser<http::buffer_body>>& aParser);
 
--- a/Source/Serving/TargetDirectory.cxx
+++ b/Source/Serving/TargetDirectory.cxx
@@ -1,5 +1,7 @@
 #include "Serving/TargetDirectory.h"
 
+#include <algorithm>
+
 namespace ragwortdeck {
 
 namespace {
@@ -28,14 +30,62 @@
 }
 
 bool
-TargetDirectory::MarkLeaving(const std::string& aId, MonotonicTime aNow)
+TargetDirectory::MarkLeaving(const std::string& aId,
+                             std::int64_t aBorn,
+                             MonotonicTime aNow)
 {
   const auto it = mEntries.find(aId);
-  if (it == mEntries.end()) {
+  const bool isKnown = it != mEntries.end();
+  const std::int64_t known = isKnown ? it->second.mBorn : 0;
+  if (aBorn != 0 && aBorn < known) {
+    return false;
+  }
+  DropOldReports(aNow);
+  if (!isKnown && mReports.size() >= kMaxReports + mEntries.size()) {
+    return false;
+  }
+  auto& report = mReports[aId];
+  report.mBorn = std::max({ report.mBorn, aBorn, known });
+  report.mKeptSince = aNow;
+  return isKnown && BeginLeaving(it->second, aNow);
+}
+
+bool
+TargetDirectory::HasReported(const std::string& aId,
+                             std::int64_t aBorn,
+                             MonotonicTime aNow)
+{
+  const auto it = mReports.find(aId);
+  if (it == mReports.end()) {
     return false;
   }
-  it->second.mReportedLeaving = true;
-  return BeginLeaving(it->second, aNow);
+  auto& report = it->second;
+  if (report.mBorn != 0 && aBorn > report.mBorn) {
+    mReports.erase(it);
+    return false;
+  }
+  report.mBorn = std::max(report.mBorn, aBorn);
+  report.mKeptSince = aNow;
+  return true;
+}
+
+void
+TargetDirectory::DropOldReports(MonotonicTime aNow)
+{
+  std::erase_if(mReports, [&](const auto& aItem) {
+    return !mEntries.contains(aItem.first) &&
+           aNow - aItem.second.mKeptSince > kKeepReport;
+  });
+}
+
+bool
+TargetDirectory::Accepts(const std::string& aId,
+                         Duration aResumeTime,
+                         MonotonicTime aNow) const
+{
+  const auto* entry = Find(aId);
+  return entry &&
+         (!entry->mLeaving || aNow - entry->mLeavingSince < aResumeTime);
 }
 
 Duration
@@ -62,13 +112,15 @@
     }
     entry.mTarget = target;
     entry.mMissingSince.reset();
-    if (target.mLeaving) {
-      if (BeginLeaving(entry, aNow)) {
-        leaving.push_back(id);
-      }
-    } else if (!entry.mReportedLeaving) {
+    const bool hasReported = HasReported(id, target.mBorn, aNow);
+    const bool hasRestarted = entry.mBorn != 0 && target.mBorn > entry.mBorn;
+    entry.mBorn = std::max(entry.mBorn, target.mBorn);
+    if (!hasReported && (hasRestarted || !target.mLeaving)) {
       entry.mLeaving = false;
     }
+    if ((hasReported || target.mLeaving) && BeginLeaving(entry, aNow)) {
+      leaving.push_back(id);
+    }
   }
   for (auto& [id, entry] : mEntries) {
     if (aList.mTargets.contains(id) || entry.mLeaving) {
--- a/Source/Serving/TargetDirectory.h
+++ b/Source/Serving/TargetDirectory.h
@@ -13,6 +13,9 @@
 /// that is missing just after an outage is kept for kReregistrationGrace, since
 /// live targets register again within about two seconds. At all other times a
 /// missing entry means that the target is leaving.
+///
+/// What a target says of itself holds against the list until the target starts
+/// again, which a later mBorn shows.
 class TargetDirectory
 {
 public:
@@ -26,14 +29,18 @@
   static constexpr Duration kMinOutageGap = std::chrono::milliseconds(1500);
   /// A leaving target that is no longer listed is removed after this time.
   static constexpr Duration kForgetAfter = std::chrono::seconds(30);
+  /// How long the report of a target that is not listed is kept. The target may
+  /// be listed again, as when its entry expired during an outage of the store.
+  static constexpr Duration kKeepReport = std::chrono::minutes(10);
+  /// Largest number of reports of targets that are not listed.
+  static constexpr std::size_t kMaxReports = 10000;
 
   struct Entry
   {
     Target mTarget;
     bool mLeaving = false;
-    /// The target itself reported that it is leaving; the list may not show it
-    /// yet.
-    bool mReportedLeaving = false;
+    /// Latest known start of the target; 0 when not known.
+    std::int64_t mBorn = 0;
     /// When this host learned that the target is leaving.
     MonotonicTime mLeavingSince;
     /// Expected end of the slow phase after its start.
@@ -50,8 +57,18 @@
   void Confirm(MonotonicTime aNow);
 
   /// The target itself reports that it is leaving, for example while the store
-  /// is unavailable. Returns true when this host did not know it.
-  bool MarkLeaving(const std::string& aId, MonotonicTime aNow);
+  /// is unavailable. aBorn is the start that the report is about; 0 stands for
+  /// the latest known one. Returns true if a target that is known is leaving
+  /// since this report. The report of an earlier start is ignored; that of a
+  /// target that is not known takes effect when it is listed.
+  bool MarkLeaving(const std::string& aId,
+                   std::int64_t aBorn,
+                   MonotonicTime aNow);
+  /// Whether the target takes requests now. aResumeTime is how long after the
+  /// notice a leaving target still takes this one.
+  bool Accepts(const std::string& aId,
+               Duration aResumeTime,
+               MonotonicTime aNow) const;
   /// Time since the list was last read; Duration::max() if it never was.
   Duration ListAge(MonotonicTime aNow) const;
 
@@ -65,7 +82,21 @@
   bool IsKnown() const { return mRevision > 0; }
 
 private:
+  struct Report
+  {
+    std::int64_t mBorn = 0;
+    /// When it was made, or its target was last listed.
+    MonotonicTime mKeptSince;
+  };
+  /// Whether the target that is listed with aBorn reported that it is leaving.
+  bool HasReported(const std::string& aId,
+                   std::int64_t aBorn,
+                   MonotonicTime aNow);
+  void DropOldReports(MonotonicTime aNow);
+
   std::map<std::string, Entry> mEntries;
+  /// Targets that reported that they are leaving.
+  std::map<std::string, Report> mReports;
   std::int64_t mRevision = 0;
   std::optional<MonotonicTime> mLastReadAt;
   /// End of the last outage.
--- a/Source/Serving/TargetList.h
+++ b/Source/Serving/TargetList.h
@@ -13,7 +13,7 @@
 /// \brief A running target as described by the target list.
 struct Target
 {
-  /// Unique to one start of the target.
+  /// Mostly unique to one start of the target.
   std::string mId;
   std::string mService;
   Endpoint mEndpoint;
@@ -24,6 +24,9 @@
   /// Remaining time of the slow phase after its start, in milliseconds, at the
   /// time when it was listed.
   std::int64_t mWarmUpMs = 0;
+  /// When it started, in milliseconds of Unix time; 0 when not known. It may
+  /// start again under the same id.
+  std::int64_t mBorn = 0;
   bool operator==(const Target&) const = default;
 
 private:
@@ -38,7 +41,8 @@
                                             aSelf.mFailureDomain,
                                             aSelf.mSlots,
                                             aSelf.mLeaving,
-                                            aSelf.mWarmUpMs);
+                                            aSelf.mWarmUpMs,
+                                            aSelf.mBorn);
   }
 
 public:
--- /dev/null
+++ b/Tests/Entry/TargetNoticeTest.cxx
@@ -0,0 +1,288 @@
+#include "Entry/RelayWorld.h"
+#include "Entry/StreamRun.h"
+#include "Support/Section.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+namespace ragwortdeck {
+
+namespace {
+
+const std::string kLeaving = "Server-Leaving: 1\r\n";
+
+ScriptedTarget::Script
+Send(const std::string& aBytes)
+{
+  return [aBytes](tcp::socket& aSocket, const std::string&) {
+    WriteAll(aSocket, aBytes);
+    return true;
+  };
+}
+
+/// A complete answer with aHeaders, each of which ends with a line break.
+std::string
+AnswerWith(const std::string& aStatus,
+           const std::string& aId,
+           const std::string& aHeaders)
+{
+  return "HTTP/1.1 " + aStatus + "\r\nAttempt-Id: " + aId +
+         "\r\nResponse-Seal: seal\r\n" + aHeaders +
+         "Content-Length: 4\r\n\r\nbody";
+}
+
+/// \brief Two targets, of which t1 is preferred.
+class TwoTargets : public RelayWorld
+{
+public:
+  explicit TwoTargets(std::vector<ScriptedTarget::Script> aFirst)
+    : mFirst(AddTarget("t1"))
+    , mSecond(AddTarget("t2"))
+  {
+    for (auto& it : aFirst) {
+      mFirst.AddScript(std::move(it));
+    }
+    Start();
+    Context().mHealth.Unreachable("t2", Context().Now());
+  }
+
+  /// Sends a request and returns the caller's reply.
+  std::string Ask(const std::string& aKind, const std::string& aId)
+  {
+    const auto caller = Call(Request(aKind, aId));
+    return Reply(*caller, "\r\n\r\n");
+  }
+  bool IsLeaving(const std::string& aId)
+  {
+    return Context().mTargets.Find(aId)->mLeaving;
+  }
+  /// Reads the target list again; the targets in it started at aBorn.
+  void ReadList(std::int64_t aRevision, std::int64_t aBorn = 0)
+  {
+    TargetList list;
+    list.mRevision = aRevision;
+    for (const auto& [id, entry] : Context().mTargets.Entries()) {
+      auto target = entry.mTarget;
+      target.mBorn = aBorn;
+      list.mTargets.emplace(id, target);
+    }
+    Context().mTargets.Apply(list, Context().Now());
+  }
+
+  static HttpFields Notice(const char* aName, const char* aValue)
+  {
+    HttpFields fields;
+    fields.set(aName, aValue);
+    return fields;
+  }
+
+  ScriptedTarget& mFirst;
+  ScriptedTarget& mSecond;
+};
+
+/// \brief A stream that is moved from t1 to t2.
+class MovedStream : public RelayWorld
+{
+public:
+  /// aOnStop is called when the run has been stopped. The answer to the call
+  /// that copies the run first has aHeaders.
+  explicit MovedStream(std::function<void(EntryContext&)> aOnStop,
+                       const std::string& aHeaders = kLeaving)
+    : mSource(AddTarget("t1"))
+    , mDestination(AddTarget("t2"))
+    , mOther(AddTarget("t3"))
+  {
+    mEngine = EngineLimits{ 8, 100000, 1, 1000, 1, true };
+    const std::string copied = R"({"handle":"h1","created_at":1})";
+    const auto reply =
+      "Content-Length: " + std::to_string(copied.size()) + "\r\n\r\n" + copied;
+    mSource.AddScript([this](tcp::socket& aSocket, const std::string&) {
+      mStream = &aSocket;
+      WriteAll(aSocket, StreamHead("id1") + Event(1));
+      return true;
+    });
+    mSource.AddScript(Send("HTTP/1.1 200 OK\r\n" + aHeaders + reply));
+    mSource.AddScript(
+      [this, reply, aOnStop](tcp::socket& aSocket, const std::string&) {
+        aOnStop(Context());
+        WriteAll(aSocket, "HTTP/1.1 200 OK\r\n" + reply);
+        mStream->close();
+        return true;
+      });
+  }
+
+  /// Returns what the caller gets from the start of the move to the end.
+  std::string Move()
+  {
+    Start();
+    // The other engines have long prompts to process.
+    Context().mLoad.SetPeer(
+      "other host",
+      { { "t2", 1, 100, 50000 }, { "t3", 1, 100, 60000 } },
+      Context().Now());
+    const auto caller = Call(Request("long", "id1"));
+    Reply(*caller, "id: 1\n");
+    const auto now = Context().Now();
+    StreamRun::MovePlan plan;
+    plan.mDestination = "t2";
+    plan.mFirstCopyAt = now;
+    plan.mLatestStop = now + std::chrono::seconds(30);
+    plan.mMayStop = [] { return true; };
+    Context().mStreams.begin()->second->StartMove(std::move(plan));
+    return Reply(*caller, kEndOfStream);
+  }
+
+  ScriptedTarget& mSource;
+  ScriptedTarget& mDestination;
+  ScriptedTarget& mOther;
+
+private:
+  tcp::socket* mStream = nullptr;
+};
+
+} // namespace
+
+/// \brief Tests that hosts heed what targets say of themselves in their
+/// answers.
+class TargetNoticeTest : public CppUnit::TestFixture
+{
+  CPPUNIT_TEST_SUITE(TargetNoticeTest);
+  CPPUNIT_TEST(TestAnswerSaysLeaving);
+  CPPUNIT_TEST(TestNoticeOfAnother);
+  CPPUNIT_TEST(TestLeavingWhileConnecting);
+  CPPUNIT_TEST(TestNoticeDuringMove);
+  CPPUNIT_TEST_SUITE_END();
+
+public:
+  void TestAnswerSaysLeaving()
+  {
+    Section("a target that says so in an answer gets no more requests", [&] {
+      TwoTargets world({ Send(AnswerWith("200 OK", "id1", kLeaving)),
+                         Send(RelayWorld::Answer("id2", "t1")) });
+      world.mSecond.AddScript(Send(RelayWorld::Answer("id2", "t2")));
+      world.mSecond.AddScript(Send(RelayWorld::Answer("id3", "t2")));
+      CPPUNIT_ASSERT(world.Ask("unsafe", "id1").starts_with("HTTP/1.1 200 OK"));
+      world.Ask("unsafe", "id2");
+      CPPUNIT_ASSERT_EQUAL(std::size_t(1), world.mSecond.Requests().size());
+      Section("nor when the store still lists it as ready", [&] {
+        world.ReadList(2);
+        world.Ask("safe", "id3");
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), world.mSecond.Requests().size());
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), world.mFirst.Requests().size());
+      });
+    });
+    Section("the other hosts are told once, with its start", [&] {
+      TwoTargets world({ Send(AnswerWith("200 OK", "id1", kLeaving)) });
+      std::vector<Target> told;
+      world.Context().mOnSaidLeaving = [&](const Target& aTarget) {
+        told.push_back(aTarget);
+      };
+      world.ReadList(2, 1000);
+      world.Ask("unsafe", "id1");
+      world.Context().RecordNotices(
+        told.at(0), 200, world.Notice("Server-Leaving", "1"));
+      CPPUNIT_ASSERT_EQUAL(std::size_t(1), told.size());
+      CPPUNIT_ASSERT_EQUAL(std::int64_t(1000), told[0].mBorn);
+    });
+    Section("a target that started again under its id is used", [&] {
+      TwoTargets world({ Send(AnswerWith("200 OK", "id1", kLeaving)) });
+      world.ReadList(2, 1000);
+      world.Ask("unsafe", "id1");
+      world.ReadList(3, 2000);
+      CPPUNIT_ASSERT(!world.IsLeaving("t1"));
+    });
+    for (const auto* status :
+         { "500 Oops", "404 Not Found", "503 Busy\r\nNot-Executed: 1" }) {
+      Section(std::string("in a failure: ") + status, [&] {
+        TwoTargets world({ Send(AnswerWith(status, "id1", kLeaving)) });
+        world.Ask("unsafe", "id1");
+        CPPUNIT_ASSERT(world.IsLeaving("t1"));
+      });
+    }
+    Section("in the header of a stream that still runs", [&] {
+      TwoTargets world({ Send("HTTP/1.1 200 OK\r\nAttempt-Id: id1\r\n"
+                              "Response-Seal: seal\r\n" +
+                              kLeaving +
+                              "Content-Type: text/event-stream\r\n"
+                              "Transfer-Encoding: chunked\r\n\r\n" +
+                              RelayWorld::Event(1)) });
+      const auto caller = world.Call(RelayWorld::Request("long", "id1"));
+      world.Reply(*caller, "id: 1\n");
+      CPPUNIT_ASSERT(world.IsLeaving("t1"));
+    });
+    for (const auto* value : { "0", "true", "", "11", "1, 1" }) {
+      Section(std::string("another value says nothing: ") + value, [&] {
+        TwoTargets world({ Send(
+          AnswerWith("200 OK",
+                     "id1",
+                     std::string("Server-Leaving: ") + value + "\r\n")) });
+        world.Ask("unsafe", "id1");
+        CPPUNIT_ASSERT(!world.IsLeaving("t1"));
+      });
+    }
+  }
+
+  void TestNoticeOfAnother()
+  {
+    Section("the late answer to another request is the same target's", [&] {
+      TwoTargets world({ Send(AnswerWith("200 OK", "id0", kLeaving) +
+                              RelayWorld::Answer("id1", "body")) });
+      CPPUNIT_ASSERT(world.Ask("unsafe", "id1").starts_with("HTTP/1.1 200 OK"));
+      CPPUNIT_ASSERT(world.IsLeaving("t1"));
+    });
+    Section("a target that took over the address does not speak for it", [&] {
+      TwoTargets world({ Send(AnswerWith("421 Other", "id1", kLeaving)) });
+      world.Ask("unsafe", "id1");
+      CPPUNIT_ASSERT(!world.IsLeaving("t1"));
+    });
+  }
+
+  void TestLeavingWhileConnecting()
+  {
+    // Guards against a request that reaches a target although its notice
+    // arrived while the connection was being opened.
+    for (const auto* kind : { "unsafe", "long" }) {
+      Section(kind, [&] {
+        TwoTargets world({ Send(RelayWorld::Answer("id1", "t1")) });
+        world.mSecond.AddScript(Send(AnswerWith("500 Oops", "id1", "")));
+        const auto caller = world.Call(RelayWorld::Request(kind, "id1"));
+        world.RunUntil([&] { return world.Context().mInFlight["t1"] > 0; });
+        world.Context().mTargets.MarkLeaving("t1", 0, world.Context().Now());
+        CPPUNIT_ASSERT(
+          world.Reply(*caller, "\r\n\r\n").starts_with("HTTP/1.1 500"));
+        CPPUNIT_ASSERT(world.mFirst.Requests().empty());
+      });
+    }
+  }
+
+  void TestNoticeDuringMove()
+  {
+    Section("a call's answer is heeded, and a stopped run is resumed", [&] {
+      bool wasHeeded = false;
+      MovedStream world([&](EntryContext& aContext) {
+        wasHeeded = aContext.mTargets.Find("t1")->mLeaving;
+        aContext.mTargets.MarkLeaving("t2", 0, aContext.Now());
+      });
+      world.mDestination.AddScript(Send(RelayWorld::StreamHead("id1") +
+                                        RelayWorld::Event(2) + "0\r\n\r\n"));
+      CPPUNIT_ASSERT(Contains(world.Move(), "id: 2\n"));
+      CPPUNIT_ASSERT(wasHeeded);
+    });
+    Section("nothing reaches a leaving target after the bound", [&] {
+      MovedStream world(
+        [](EntryContext& aContext) {
+          for (const auto* id : { "t1", "t2" }) {
+            aContext.mTargets.MarkLeaving(
+              id, 0, aContext.Now() - aContext.mSettings.mDrainTime);
+          }
+        },
+        "");
+      CPPUNIT_ASSERT(!Contains(world.Move(), kEndOfStream));
+      CPPUNIT_ASSERT_EQUAL(std::size_t(3), world.mSource.Requests().size());
+      CPPUNIT_ASSERT(world.mDestination.Requests().empty());
+    });
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(TargetNoticeTest);
+
+} // namespace ragwortdeck
--- a/Tests/FleetCodec/FleetCodecTest.cxx
+++ b/Tests/FleetCodec/FleetCodecTest.cxx
@@ -139,6 +139,32 @@
       CPPUNIT_ASSERT_EQUAL(std::size_t(1), page.mList.mTargets.size());
       CPPUNIT_ASSERT_EQUAL(std::size_t(4), page.mUnreadable.size());
     });
+    Section("a start that is no whole number is not known", [&] {
+      const auto born = [&](const std::string& aBorn) {
+        auto value = good;
+        value.back() = ',';
+        return codec
+          .ReadTargets("{\"items\":[" +
+                       item("i-1", value + "\"born\":" + aBorn + "}") +
+                       "],\"current_rev\":1}")
+          .value()
+          .mList.mTargets.at("i-1")
+          .mBorn;
+      };
+      CPPUNIT_ASSERT_EQUAL(std::int64_t(1780000000123), born("1780000000123"));
+      for (const auto* odd : { "0",
+                               "-5",
+                               "1780000000123.5",
+                               "\"1780000000123\"",
+                               "[1]",
+                               "null",
+                               "1780000000123000000",
+                               "18446744073709551615" }) {
+        CPPUNIT_ASSERT_EQUAL(std::int64_t(0), born(odd));
+      }
+      CPPUNIT_ASSERT_EQUAL(std::int64_t(0),
+                           page.mList.mTargets.at("i-1").mBorn);
+    });
     Section("changes name the newest state of each target", [&] {
       const auto changes =
         codec
@@ -226,6 +252,15 @@
     CPPUNIT_ASSERT_EQUAL(8, responseHeaders.mLoad->mSlots);
     fields.set("Server-Load", "x");
     CPPUNIT_ASSERT(!codec.ReadTargetResponseHeaders(fields).mLoad);
+    Section("a leaving target says so with one value only", [&] {
+      CPPUNIT_ASSERT(!codec.ReadTargetResponseHeaders(fields).mLeaving);
+      for (const auto* value : { "0", "", "true", "01", "1, 1", "-1" }) {
+        fields.set("Server-Leaving", value);
+        CPPUNIT_ASSERT(!codec.ReadTargetResponseHeaders(fields).mLeaving);
+      }
+      fields.set("server-leaving", "1");
+      CPPUNIT_ASSERT(codec.ReadTargetResponseHeaders(fields).mLeaving);
+    });
   }
 
   void TestCalls()
@@ -253,6 +288,13 @@
       CPPUNIT_ASSERT(report.mLeaving &&
                      *report.mLeavesIn == Milliseconds(1670));
     });
+    Section("an engine reports when it started", [&] {
+      CPPUNIT_ASSERT_EQUAL(
+        std::int64_t(1780000000123),
+        codec.ReadReport(R"({"born":1780000000123})").value().mBorn);
+      CPPUNIT_ASSERT_EQUAL(std::int64_t(0),
+                           codec.ReadReport(R"({"born":null})").value().mBorn);
+    });
     Section("a value of the store is decoded", [&] {
       const auto value = codec
                            .ReadStoreValue("{\"value\":\"" + Base64("x") +
--- a/Tests/Serving/TableTest.cxx
+++ b/Tests/Serving/TableTest.cxx
@@ -42,10 +42,11 @@
 }
 
 Target
-MakeTarget(const std::string& aId)
+MakeTarget(const std::string& aId, std::int64_t aBorn = 0)
 {
   Target target;
   target.mId = aId;
+  target.mBorn = aBorn;
   target.mService = "s";
   target.mEndpoint = { "10.0.0.1", 80 };
   return target;
@@ -62,6 +63,8 @@
   CPPUNIT_TEST(TestTableVersions);
   CPPUNIT_TEST(TestTableAge);
   CPPUNIT_TEST(TestLeavingTargets);
+  CPPUNIT_TEST(TestRestartedTargets);
+  CPPUNIT_TEST(TestReportOfUnlistedTarget);
   CPPUNIT_TEST(TestStoreOutage);
   CPPUNIT_TEST(TestListChange);
   CPPUNIT_TEST_SUITE_END();
@@ -163,13 +166,103 @@
     });
     Section("the report of a target itself overrides the list", [&] {
       directory.Apply({ 4, { { "u", MakeTarget("u") } } }, At(600));
-      CPPUNIT_ASSERT(directory.MarkLeaving("u", At(700)));
-      CPPUNIT_ASSERT(!directory.MarkLeaving("u", At(800)));
+      CPPUNIT_ASSERT(directory.MarkLeaving("u", 0, At(700)));
+      CPPUNIT_ASSERT(!directory.MarkLeaving("u", 0, At(800)));
       directory.Apply({ 5, { { "u", MakeTarget("u") } } }, At(900));
       CPPUNIT_ASSERT(directory.Find("u")->mLeaving);
     });
   }
 
+  void TestRestartedTargets()
+  {
+    const auto list = [](std::int64_t aRevision, std::int64_t aBorn) {
+      return TargetList{ aRevision, { { "t", MakeTarget("t", aBorn) } } };
+    };
+    Section("a target that started again is no longer leaving", [&] {
+      TargetDirectory directory;
+      directory.Apply(list(1, 1000), At(0));
+      CPPUNIT_ASSERT(directory.MarkLeaving("t", 1000, At(100)));
+      directory.Apply(list(2, 1000), At(200));
+      CPPUNIT_ASSERT(directory.Find("t")->mLeaving);
+      directory.Apply(list(3, 2000), At(300));
+      CPPUNIT_ASSERT(!directory.Find("t")->mLeaving);
+      Section("an entry of its earlier start changes nothing", [&] {
+        CPPUNIT_ASSERT(directory.MarkLeaving("t", 2000, At(400)));
+        directory.Apply(list(4, 1000), At(500));
+        directory.Apply(list(5, 2000), At(600));
+        CPPUNIT_ASSERT(directory.Find("t")->mLeaving);
+      });
+      Section("nor does a late report of its earlier start", [&] {
+        directory.Apply(list(6, 3000), At(700));
+        CPPUNIT_ASSERT(!directory.MarkLeaving("t", 2000, At(800)));
+        CPPUNIT_ASSERT(!directory.Find("t")->mLeaving);
+      });
+    });
+    Section("a start that the list does not state yet", [&] {
+      TargetDirectory directory;
+      directory.Apply(list(1, 1000), At(0));
+      CPPUNIT_ASSERT(directory.MarkLeaving("t", 2000, At(100)));
+      directory.Apply(list(2, 2000), At(200));
+      CPPUNIT_ASSERT(directory.Find("t")->mLeaving);
+    });
+    Section("a list that states no start, or states it later", [&] {
+      TargetDirectory directory;
+      directory.Apply(list(1, 0), At(0));
+      CPPUNIT_ASSERT(directory.MarkLeaving("t", 0, At(100)));
+      directory.Apply(list(2, 1000), At(200));
+      directory.Apply(list(3, 0), At(300));
+      CPPUNIT_ASSERT(directory.Find("t")->mLeaving);
+      directory.Apply(list(4, 2000), At(400));
+      CPPUNIT_ASSERT(!directory.Find("t")->mLeaving);
+    });
+    Section("a resumed run reaches a leaving target for a short time", [&] {
+      TargetDirectory directory;
+      directory.Apply(list(1, 1000), At(0));
+      CPPUNIT_ASSERT(directory.Accepts("t", milliseconds(0), At(100)));
+      directory.MarkLeaving("t", 1000, At(100));
+      CPPUNIT_ASSERT(!directory.Accepts("t", milliseconds(0), At(100)));
+      CPPUNIT_ASSERT(directory.Accepts("t", milliseconds(500), At(599)));
+      CPPUNIT_ASSERT(!directory.Accepts("t", milliseconds(500), At(600)));
+      CPPUNIT_ASSERT(!directory.Accepts("u", milliseconds(500), At(100)));
+    });
+  }
+
+  void TestReportOfUnlistedTarget()
+  {
+    const TargetList listed{ 2, { { "t", MakeTarget("t", 1000) } } };
+    Section("it takes effect when the target is listed", [&] {
+      TargetDirectory directory;
+      directory.Apply({ 1, {} }, At(0));
+      CPPUNIT_ASSERT(!directory.MarkLeaving("t", 1000, At(100)));
+      const auto leaving = directory.Apply(listed, At(200));
+      CPPUNIT_ASSERT(leaving == std::vector<std::string>{ "t" });
+    });
+    Section("it outlives an entry that was missing for long", [&] {
+      TargetDirectory directory;
+      directory.Apply(listed, At(0));
+      directory.MarkLeaving("t", 1000, At(100));
+      directory.Apply({ 3, {} }, At(200));
+      directory.Apply({ 4, {} }, At(60000));
+      CPPUNIT_ASSERT(!directory.Find("t"));
+      directory.Apply({ 5, listed.mTargets }, At(61000));
+      CPPUNIT_ASSERT(directory.Find("t")->mLeaving);
+    });
+    Section("reports of any number of ids take bounded memory", [&] {
+      TargetDirectory directory;
+      directory.Apply({ 1, {} }, At(0));
+      for (std::size_t n = 0; n <= TargetDirectory::kMaxReports; ++n) {
+        directory.MarkLeaving("i-" + std::to_string(n), 0, At(100));
+      }
+      TargetList list{ 2, {} };
+      for (const auto* id : { "i-0", "i-10000" }) {
+        list.mTargets.emplace(id, MakeTarget(id));
+      }
+      directory.Apply(list, At(200));
+      CPPUNIT_ASSERT(directory.Find("i-0")->mLeaving);
+      CPPUNIT_ASSERT(!directory.Find("i-10000")->mLeaving);
+    });
+  }
+
   void TestListChange()
   {
     TargetList before;
--- a/Tests/Soak/hosts.py
+++ b/Tests/Soak/hosts.py
@@ -21,6 +21,7 @@
 bounds:
   key_removal_ms: 5000
   table_change_ms: 2000
+  drain_ms: 2000
   shutdown_grace_s: {grace}
 """
 GRACE_S = 4
