Entry: Send nothing to a target for the time that it asks for

What callers saw: a server that turns a request away may state with Retry-After how long it wants nothing from this host. The hosts ignored it; the avoidance of TargetHealth is shorter, starts after two failures, ends with a success and is overridden when all targets are avoided. Requests went on to a server that had just refused, and waited or were refused there.

Change: an answer 503 with Retry-After pauses its target for this host (TargetPauses): no request, retry, second send, resumption or destination of a move. If all targets of the service that are not leaving are paused, the caller is refused at once, also while it waits for an engine, with the earliest end as its Retry-After. The answer itself is treated as before: it states whether the request has run.

Answers to calls start no pause: calls are not requests, and the 503 of a copy call speaks of its destination. The other hosts are not told: the target speaks to one host, and may want what the others send.

With it test-serving (50), test-fleetcodec (7) and test-entry (37) pass.

--- a/Source/Entry/EntryContext.cxx
+++ b/Source/Entry/EntryContext.cxx
@@ -2,6 +2,9 @@
 
 #include "Core/HttpStatus.h"
 #include "Entry/CallerRequest.h"
+#include "Serving/EngineChoice.h"
+
+#include <algorithm>
 
 namespace ragwortdeck {
 
@@ -107,18 +110,77 @@
   }
 }
 
+bool
+EntryContext::IsOpen(const TargetDirectory::Entry& aEntry) const
+{
+  return !aEntry.mLeaving && !mPauses.EndOf(aEntry.mTarget, Now());
+}
+
 std::vector<const TargetDirectory::Entry*>
 EntryContext::OpenTargets(const std::string& aService) const
 {
   std::vector<const TargetDirectory::Entry*> open;
   for (const auto& [id, entry] : mTargets.Entries()) {
-    if (!entry.mLeaving && entry.mTarget.mService == aService) {
+    if (entry.mTarget.mService == aService && IsOpen(entry)) {
       open.push_back(&entry);
     }
   }
   return open;
 }
 
+std::optional<Duration>
+EntryContext::PauseOf(const std::string& aService) const
+{
+  const auto now = Now();
+  std::optional<MonotonicTime> first;
+  for (const auto& [id, entry] : mTargets.Entries()) {
+    if (entry.mLeaving || entry.mTarget.mService != aService) {
+      continue;
+    }
+    const auto end = mPauses.EndOf(entry.mTarget, now);
+    if (!end) {
+      return std::nullopt;
+    }
+    first = first ? std::min(*first, *end) : *end;
+  }
+  return first ? std::optional(*first - now) : std::nullopt;
+}
+
+double
+EntryContext::RefusalSeconds(const std::string& aService,
+                             Milliseconds aTimeLeft)
+{
+  const auto pause = PauseOf(aService);
+  if (!pause) {
+    return RetryAfterSeconds(aTimeLeft, mRandom);
+  }
+  mMetrics.Count("entry_paused_refusals_total");
+  return std::chrono::duration<double>(*pause).count();
+}
+
+void
+EntryContext::RecordAnswer(const Target& aTarget,
+                           unsigned aStatus,
+                           const HttpFields& aHeader)
+{
+  RecordNotices(aTarget, aStatus, aHeader);
+  if (aStatus != kStatusUnavailable) {
+    return;
+  }
+  const auto wish = mCodec.ReadTargetResponseHeaders(aHeader).mRetryAfter;
+  const auto now = Now();
+  if (!wish || !mPauses.Start(aTarget, *wish, now)) {
+    return;
+  }
+  mMetrics.Count("entry_target_pauses_total");
+  mLog.Write("target_paused",
+             { { "target", aTarget.mId },
+               { "pause_ms", wish->count() },
+               { "all_paused", PauseOf(aTarget.mService).has_value() } });
+  // Generations that wait for the target are refused if it was the last one.
+  OfferCapacity();
+}
+
 void
 EntryContext::RecordNotices(const Target& aTarget,
                             unsigned aStatus,
@@ -156,14 +218,16 @@
   const auto resumeTime =
     aResumes ? std::max<Duration>(Duration(0), mSettings.mDrainTime - kMargin)
              : Duration(0);
-  if (mTargets.Accepts(aTarget.mId, resumeTime, Now())) {
+  const auto now = Now();
+  const bool isLeaving = !mTargets.Accepts(aTarget.mId, resumeTime, now);
+  if (!isLeaving && !mPauses.EndOf(aTarget, now)) {
     return true;
   }
   mMetrics.Count("entry_withheld_sends_total");
   mLog.Write("send_withheld",
              { { "id", aRequest },
                { "target", aTarget.mId },
-               { "why", "leaving" },
+               { "why", isLeaving ? "leaving" : "paused" },
                { "resumes", aResumes } });
   return false;
 }
--- a/Source/Entry/EntryContext.h
+++ b/Source/Entry/EntryContext.h
@@ -12,6 +12,7 @@
 #include "Serving/ServerChoice.h"
 #include "Serving/TargetDirectory.h"
 #include "Serving/TargetHealth.h"
+#include "Serving/TargetPauses.h"
 #include "Serving/WaitingLine.h"
 
 #include <functional>
@@ -96,10 +97,22 @@
   /// Ends all requests, as at their deadline. Each gets an answer.
   void FinishAll();
 
+  /// Whether the target of aEntry accepts new requests of this host.
+  bool IsOpen(const TargetDirectory::Entry& aEntry) const;
   /// The targets of a service that accept new requests.
   std::vector<const TargetDirectory::Entry*> OpenTargets(
     const std::string& aService) const;
-  /// Takes what aTarget says of itself in the header of one of its answers.
+  /// If all targets of a service that are not leaving want no requests for some
+  /// time, the time until the first of them may be asked again.
+  std::optional<Duration> PauseOf(const std::string& aService) const;
+  /// The seconds after which a caller whose request to aService is refused
+  /// should retry.
+  double RefusalSeconds(const std::string& aService, Milliseconds aTimeLeft);
+  /// Takes what aTarget says of itself in the header of an answer to a request.
+  void RecordAnswer(const Target& aTarget,
+                    unsigned aStatus,
+                    const HttpFields& aHeader);
+  /// Takes what aTarget says of itself in the header of any answer.
   void RecordNotices(const Target& aTarget,
                      unsigned aStatus,
                      const HttpFields& aHeader);
@@ -130,6 +143,7 @@
   TargetDirectory mTargets;
   FleetLoad mLoad;
   TargetHealth mHealth;
+  TargetPauses mPauses;
   WaitingLine mLine;
   /// Waiting generations by ticket. The function tries to start the generation
   /// and returns whether the ticket may leave the waiting line.
--- a/Source/Entry/PlainRelay.cxx
+++ b/Source/Entry/PlainRelay.cxx
@@ -1,7 +1,6 @@
 #include "Entry/PlainRelay.h"
 
 #include "Core/HttpStatus.h"
-#include "Serving/EngineChoice.h"
 
 namespace ragwortdeck {
 
@@ -137,11 +136,13 @@
                            mRequest.mReason);
   }
   if (mRequest.mReason.empty()) {
-    mRequest.mReason = "no server available";
+    mRequest.mReason = mContext.PauseOf(mRequest.mService)
+                         ? "all servers paused"
+                         : "no server available";
   }
-  return MakeRefusal(
-    mRequest.mReason,
-    RetryAfterSeconds(mRequest.TimeLeft(mContext.Now()), mContext.mRandom));
+  return MakeRefusal(mRequest.mReason,
+                     mContext.RefusalSeconds(
+                       mRequest.mService, mRequest.TimeLeft(mContext.Now())));
 }
 
 Task<FinalAnswer>
--- a/Source/Entry/PlatformCodec.h
+++ b/Source/Entry/PlatformCodec.h
@@ -72,6 +72,8 @@
   bool mSigned = false;
   /// The target is leaving: it wants no new requests and will stop.
   bool mLeaving = false;
+  /// The target states how long it wants no further requests.
+  std::optional<Milliseconds> mRetryAfter;
   std::optional<ReportedLoad> mLoad;
 };
 
--- a/Source/Entry/StreamRun.cxx
+++ b/Source/Entry/StreamRun.cxx
@@ -112,9 +112,9 @@
 StreamRun::RefuseRequest(const std::string& aReason)
 {
   mRequest->mReason = aReason;
-  return MakeRefusal(
-    aReason,
-    RetryAfterSeconds(mRequest->TimeLeft(mContext.Now()), mContext.mRandom));
+  return MakeRefusal(aReason,
+                     mContext.RefusalSeconds(
+                       mRequest->mService, mRequest->TimeLeft(mContext.Now())));
 }
 
 std::optional<Target>
@@ -209,9 +209,19 @@
                          : routePriority;
   const auto ticket =
     mContext.mLine.Enter({ priority, mRequest->mArrived, began + wait });
-  mContext.mWaiting[ticket] = [this] { return TryPlace(); };
+  bool isRefused = false;
+  mContext.mWaiting[ticket] = [this, &isRefused] {
+    if (TryPlace()) {
+      return true;
+    }
+    if (mContext.PauseOf(mRequest->mService)) {
+      isRefused = true;
+      mSignal.cancel();
+    }
+    return isRefused;
+  };
   mContext.OfferCapacity();
-  if (!mPlacedWhileWaiting && !mRequest->HasEnded()) {
+  if (!mPlacedWhileWaiting && !isRefused && !mRequest->HasEnded()) {
     mSignal.expires_after(wait);
     error_code ec;
     co_await mSignal.async_wait(RedirectError(ec));
@@ -295,8 +305,9 @@
     co_return result;
   }
   if (!mayHaveRun && !mRequest->HasEnded()) {
-    result.mAnswer =
-      RefuseRequest(wasFull ? "engine full" : "no engine has room");
+    const char* reason = wasFull ? "engine full" : "no engine has room";
+    result.mAnswer = RefuseRequest(
+      mContext.PauseOf(mRequest->mService) ? "all engines paused" : reason);
   } else if (mRequest->mEnd == CallerRequest::End::kTimedOut) {
     result.mAnswer = mayHaveRun || mRequest->mAttempts > 0
                        ? MakeLocalAnswer(kStatusTimeout, "no answer in time")
@@ -422,7 +433,7 @@
   }
   if (!mContext.MaySend(
         engine, aMemory.has_value(), mRequest->mCallerHeaders.mId)) {
-    mRequest->mReason = engine.mId + ": leaving";
+    mRequest->mReason = engine.mId + ": wants no requests";
     co_return SendResult::kNotSent;
   }
   mConnection = connection;
@@ -722,7 +733,7 @@
   for (int i = 0; i < kMaxDestinations && !mRequest->HasEnded(); ++i) {
     const auto* planned =
       i == 0 ? mContext.mTargets.Find(mPlan.mDestination) : nullptr;
-    const auto to = planned && !planned->mLeaving
+    const auto to = planned && mContext.IsOpen(*planned)
                       ? std::optional(planned->mTarget)
                       : ChooseTarget(excluded,
                                      mEngine.mFailureDomain,
--- a/Source/Entry/TargetExchange.cxx
+++ b/Source/Entry/TargetExchange.cxx
@@ -107,7 +107,7 @@
     if (status < kStatusOk) {
       continue;
     }
-    aContext.RecordNotices(aTarget, status, aParser->get());
+    aContext.RecordAnswer(aTarget, status, aParser->get());
     const auto responseHeaders =
       aContext.mCodec.ReadTargetResponseHeaders(aParser->get());
     // A refusal may come without the id, from a target that did not read the
@@ -152,7 +152,7 @@
   }
   if (!mContext.MaySend(aTarget, false, mRequest.mCallerHeaders.mId)) {
     mConnection.reset();
-    outcome.mReason = "leaving";
+    outcome.mReason = "wants no requests";
     co_return outcome;
   }
   const auto headers =
--- a/Tests/Entry/TargetNoticeTest.cxx
+++ b/Tests/Entry/TargetNoticeTest.cxx
@@ -150,6 +150,9 @@
   CPPUNIT_TEST(TestNoticeOfAnother);
   CPPUNIT_TEST(TestLeavingWhileConnecting);
   CPPUNIT_TEST(TestNoticeDuringMove);
+  CPPUNIT_TEST(TestPausedTarget);
+  CPPUNIT_TEST(TestAllTargetsPaused);
+  CPPUNIT_TEST(TestWaitingWhileAllArePaused);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -283,6 +286,126 @@
       CPPUNIT_ASSERT(world.mOther.Requests().empty());
     });
   }
+
+  void TestPausedTarget()
+  {
+    for (const auto* extra : { "Not-Executed: 1\r\n", "" }) {
+      Section(
+        std::string("a target that wants nothing for a minute ") + extra, [&] {
+          TwoTargets world(
+            { Send(AnswerWith(
+                "503 Busy", "id1", std::string("Retry-After: 60\r\n") + extra)),
+              Send(RelayWorld::Answer("id2", "t1")) });
+          world.mSecond.AddScript(Send(RelayWorld::Answer("id2", "t2")));
+          world.Ask("unsafe", "id1");
+          world.Ask("unsafe", "id2");
+          CPPUNIT_ASSERT_EQUAL(std::size_t(1), world.mFirst.Requests().size());
+          CPPUNIT_ASSERT_EQUAL(std::size_t(1), world.mSecond.Requests().size());
+        });
+    }
+    Section("after the time it is used again", [&] {
+      TwoTargets world({ Send(AnswerWith("503 Busy",
+                                         "id1",
+                                         "Retry-After: 0.05\r\n"
+                                         "Not-Executed: 1\r\n")),
+                         Send(RelayWorld::Answer("id2", "t1")) });
+      world.Ask("unsafe", "id1");
+      world.RunUntil(
+        [&] { return world.Context().OpenTargets("s").size() == 2; });
+      CPPUNIT_ASSERT(world.Ask("unsafe", "id2").starts_with("HTTP/1.1 200 OK"));
+      CPPUNIT_ASSERT_EQUAL(std::size_t(2), world.mFirst.Requests().size());
+    });
+    Section("a success, or another status, starts no pause", [&] {
+      for (const auto* status : { "200 OK", "500 Oops", "429 Slow" }) {
+        TwoTargets world(
+          { Send(AnswerWith(status, "id1", "Retry-After: 60\r\n")) });
+        world.Ask("unsafe", "id1");
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2),
+                             world.Context().OpenTargets("s").size());
+      }
+    });
+    Section("a request whose connection is being opened goes elsewhere", [&] {
+      TwoTargets world({});
+      world.mSecond.AddScript(Send(RelayWorld::Answer("id1", "t2")));
+      const auto caller = world.Call(RelayWorld::Request("unsafe", "id1"));
+      world.RunUntil([&] { return world.Context().mInFlight["t1"] > 0; });
+      world.Context().RecordAnswer(world.Context().mTargets.Find("t1")->mTarget,
+                                   503,
+                                   world.Notice("Retry-After", "60"));
+      CPPUNIT_ASSERT(
+        world.Reply(*caller, "\r\n\r\n").starts_with("HTTP/1.1 200"));
+      CPPUNIT_ASSERT(world.mFirst.Requests().empty());
+    });
+    Section("it is no destination of a move", [&] {
+      MovedStream world([](EntryContext&) {});
+      world.mOther.AddScript(Send(RelayWorld::StreamHead("id1") +
+                                  RelayWorld::Event(2) + "0\r\n\r\n"));
+      Target paused;
+      paused.mId = "t2";
+      paused.mService = "s";
+      world.Context().RecordAnswer(
+        paused, 503, TwoTargets::Notice("Retry-After", "60"));
+      CPPUNIT_ASSERT(Contains(world.Move(), "id: 2\n"));
+      CPPUNIT_ASSERT(world.mDestination.Requests().empty());
+    });
+  }
+
+  void TestAllTargetsPaused()
+  {
+    for (const auto* kind : { "safe", "unsafe", "short", "long" }) {
+      Section(kind, [&] {
+        const auto refuse = [](const std::string& aSeconds) {
+          return Send(
+            AnswerWith("503 Busy",
+                       "id1",
+                       "Not-Executed: 1\r\nRetry-After: " + aSeconds + "\r\n"));
+        };
+        TwoTargets world({ refuse("90") });
+        auto second = world.Context().mTargets.Find("t2")->mTarget;
+        world.Context().RecordAnswer(
+          second, 503, world.Notice("Retry-After", "70"));
+        Section("the request is refused with the earliest end", [&] {
+          const auto began = world.Context().Now();
+          for (const auto* id : { "id1", "id2" }) {
+            const auto reply = world.Ask(kind, id);
+            CPPUNIT_ASSERT(reply.starts_with("HTTP/1.1 503"));
+            const std::string name = "Retry-After: ";
+            const auto at = reply.find(name);
+            CPPUNIT_ASSERT(at != std::string::npos);
+            const double seconds = std::stod(reply.substr(at + name.size()));
+            CPPUNIT_ASSERT(seconds > 10 && seconds <= 70);
+          }
+          CPPUNIT_ASSERT(world.Context().Now() - began <
+                         std::chrono::seconds(5));
+        });
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), world.mFirst.Requests().size());
+        CPPUNIT_ASSERT(world.mSecond.Requests().empty());
+      });
+    }
+  }
+
+  void TestWaitingWhileAllArePaused()
+  {
+    // Guards against a generation that is held while no engine may be asked.
+    RelayWorld world;
+    world.mEngine = EngineLimits{ 1, 100000, 1, 1000, 1, true };
+    auto& engine = world.AddTarget("t1");
+    engine.AddScript(
+      Send(RelayWorld::StreamHead("id1") + RelayWorld::Event(1)));
+    world.Start();
+    const auto first = world.Call(RelayWorld::Request("long", "id1"));
+    world.Reply(*first, "id: 1\n");
+    const auto waiting = world.Call(RelayWorld::Request("long", "id2"));
+    world.RunUntil([&] { return world.Context().mLine.Size() == 1; });
+    const auto began = world.Context().Now();
+    world.Context().RecordAnswer(world.Context().mTargets.Find("t1")->mTarget,
+                                 503,
+                                 TwoTargets::Notice("Retry-After", "60"));
+    CPPUNIT_ASSERT(
+      world.Reply(*waiting, "\r\n\r\n").starts_with("HTTP/1.1 503"));
+    CPPUNIT_ASSERT(world.Context().Now() - began < std::chrono::seconds(5));
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), engine.Requests().size());
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(TargetNoticeTest);
--- a/Tests/FleetCodec/FleetCodecTest.cxx
+++ b/Tests/FleetCodec/FleetCodecTest.cxx
@@ -252,6 +252,28 @@
     CPPUNIT_ASSERT_EQUAL(8, responseHeaders.mLoad->mSlots);
     fields.set("Server-Load", "x");
     CPPUNIT_ASSERT(!codec.ReadTargetResponseHeaders(fields).mLoad);
+    Section("a target states in seconds when a request may come again", [&] {
+      const auto read = [&](const char* aValue) {
+        fields.set("Retry-After", aValue);
+        return codec.ReadTargetResponseHeaders(fields).mRetryAfter;
+      };
+      CPPUNIT_ASSERT(!codec.ReadTargetResponseHeaders(fields).mRetryAfter);
+      CPPUNIT_ASSERT(read("2") == Milliseconds(2000));
+      CPPUNIT_ASSERT(read("0.2501") == Milliseconds(251));
+      CPPUNIT_ASSERT(read("300") == Milliseconds(300000));
+      CPPUNIT_ASSERT(*read("1e300") <= Milliseconds(1'000'000'000'000));
+      for (const auto* value : { "Wed, 21 Oct 2015 07:28:00 GMT",
+                                 "-1",
+                                 "0",
+                                 "",
+                                 "soon",
+                                 "1s",
+                                 "1, 2",
+                                 "inf",
+                                 "nan" }) {
+        CPPUNIT_ASSERT(!read(value));
+      }
+    });
     Section("a leaving target says so with one value only", [&] {
       CPPUNIT_ASSERT(!codec.ReadTargetResponseHeaders(fields).mLeaving);
       for (const auto* value : { "0", "", "true", "01", "1, 1", "-1" }) {
