Entry: Keep a request off connections on which it was refused

An operator of a similar system reported: a faulty server wrote an earlier refusal once more on a kept connection, and callers were told "not run, try again" for a request that had run or was running.

A connection remembered the last request only. If the target refused request A, served B on the same connection, and A came to it again, a late copy of A's refusal carried A's id and was taken for the new answer.

A connection now keeps the ids of the requests that were refused on it, and is not reused for these; with more than 32 refusals it is closed. Other answers need no such record: a request comes to a target again only after a refusal or a move.

FieldFailuresTest::TestRefusalRepeatedAfterOtherRequests failed before: the caller got the refusal for a request that the target then answered.

--- a/Source/Entry/StreamRun.cxx
+++ b/Source/Entry/StreamRun.cxx
@@ -507,8 +507,12 @@
     mContext.mCodec.ReadTargetResponseHeaders(header);
   const auto status = header.result_int();
   mConnection.reset();
+  const bool notRun = responseHeaders.mNotRun || status == kStatusMisdirected;
+  if (notRun) {
+    aConnection->mRefused.insert(mRequest->mCallerHeaders.mId);
+  }
   mContext.mPool.ReleaseOrClose(aConnection, *aParser, true);
-  if (responseHeaders.mNotRun || status == kStatusMisdirected) {
+  if (notRun) {
     mRequest->mReason =
       mEngine.mId + ": not run, status " + std::to_string(status);
     mContext.mHealth.Failed(mEngine.mId, mContext.Now());
--- a/Source/Entry/TargetConnection.h
+++ b/Source/Entry/TargetConnection.h
@@ -5,6 +5,7 @@
 #include "Entry/Asio.h"
 
 #include <memory>
+#include <set>
 
 namespace ragwortdeck {
 
@@ -33,6 +34,8 @@
   bool mReused = false;
   /// Id of the request that was sent last; empty for calls without one.
   std::string mLastRequest;
+  /// Ids of the requests that the target refused on this connection.
+  std::set<std::string> mRefused;
   /// The connection must not be reused after this time.
   MonotonicTime mIdleUntil;
 };
--- a/Source/Entry/TargetExchange.cxx
+++ b/Source/Entry/TargetExchange.cxx
@@ -204,8 +204,12 @@
   // After this the pool may hand the connection to another request, which
   // Abort() must not close.
   mConnection.reset();
+  const bool notRun = responseHeaders.mNotRun || status == kStatusMisdirected;
+  if (notRun) {
+    connection->mRefused.insert(mRequest.mCallerHeaders.mId);
+  }
   mContext.mPool.ReleaseOrClose(connection, *parser, *written);
-  if (responseHeaders.mNotRun || status == kStatusMisdirected) {
+  if (notRun) {
     outcome.mKind = TargetOutcome::Kind::kNotRun;
     outcome.mReason = "not run, status " + std::to_string(status);
     if (status == kStatusMisdirected) {
--- a/Source/Entry/TargetPool.cxx
+++ b/Source/Entry/TargetPool.cxx
@@ -16,7 +16,8 @@
   auto& idle = mIdle[aEndpoint];
   for (auto n = idle.size(); n > 0; --n) {
     const auto it = idle.begin() + static_cast<std::ptrdiff_t>(n - 1);
-    if (!aRequest.empty() && (*it)->mLastRequest == aRequest) {
+    if (!aRequest.empty() && ((*it)->mLastRequest == aRequest ||
+                              (*it)->mRefused.contains(aRequest))) {
       continue;
     }
     auto connection = *it;
@@ -66,7 +67,8 @@
   // to count earlier.
   constexpr int kUsedPercent = 70;
   constexpr int kPercent = 100;
-  if (!aConnection->IsReusable()) {
+  if (!aConnection->IsReusable() ||
+      aConnection->mRefused.size() > kMaxRefusals) {
     return;
   }
   const Duration stated =
--- a/Source/Entry/TargetPool.h
+++ b/Source/Entry/TargetPool.h
@@ -17,18 +17,22 @@
   static constexpr std::chrono::milliseconds kConnectTimeout{ 350 };
   /// Idle timeout of a target that states none.
   static constexpr std::chrono::milliseconds kDefaultIdleTimeout{ 400 };
+  /// A connection with more refusals is closed, since all are remembered.
+  static constexpr std::size_t kMaxRefusals = 32;
 
   TargetPool(asio::io_context& aContext, const Clock& aClock);
 
   /// Returns an idle connection for the request aRequest, or opens one if there
   /// is none or aNewConnection is set; null when the target cannot be reached.
   ///
-  /// A connection that served the same request last is not reused for it: a
-  /// late copy of the earlier answer could not be told from the new one.
+  /// A connection that served the same request last, or on which the target
+  /// has refused it, is not reused for it: a late copy of the earlier answer
+  /// could not be told from the new one.
   Task<TargetConnectionPtr> Acquire(Endpoint aEndpoint,
                                     bool aNewConnection,
                                     std::string aRequest);
-  /// Returns a connection to the pool after a complete answer.
+  /// Returns a connection to the pool after a complete answer, unless many
+  /// refusals arrived on it.
   /// aKeepAliveSeconds is the idle timeout that the target stated, 0 for none.
   void Release(TargetConnectionPtr aConnection, int aKeepAliveSeconds);
   /// Returns a connection to the pool if the answer in aParser is complete and
--- a/Tests/Entry/FieldFailuresTest.cxx
+++ b/Tests/Entry/FieldFailuresTest.cxx
@@ -104,6 +104,7 @@
 {
   CPPUNIT_TEST_SUITE(FieldFailuresTest);
   CPPUNIT_TEST(TestSecondCopyOfAnAnswer);
+  CPPUNIT_TEST(TestRefusalRepeatedAfterOtherRequests);
   CPPUNIT_TEST(TestStalledStreams);
   CPPUNIT_TEST(TestSlowSoundStreams);
   CPPUNIT_TEST(TestEndlessHeads);
@@ -203,6 +204,40 @@
     });
   }
 
+  void TestRefusalRepeatedAfterOtherRequests()
+  {
+    // The request comes to the target once more, by a move or from its caller,
+    // on a connection that has served another one meanwhile.
+    RelayWorld world;
+    auto& target = world.AddTarget("t1");
+    const std::string refusal =
+      "HTTP/1.1 503 Full\r\nAttempt-Id: id1\r\nNot-Executed: 1\r\n"
+      "Content-Length: 0\r\n\r\n";
+    target.AddScript([&](tcp::socket& aSocket, const std::string&) {
+      WriteAll(aSocket, refusal);
+      return true;
+    });
+    target.AddScript([](tcp::socket& aSocket, const std::string&) {
+      WriteAll(aSocket, RelayWorld::Answer("id2", "other"));
+      return true;
+    });
+    target.AddScript([&](tcp::socket& aSocket, const std::string&) {
+      WriteAll(aSocket,
+               (world.Context().mPool.Opened() == 1 ? refusal : "") +
+                 RelayWorld::Answer("id1", "ran"));
+      return true;
+    });
+    world.Start();
+    const auto call = [&](const std::string& aId, const std::string& aUntil) {
+      const auto caller = world.Call(RelayWorld::Request("unsafe", aId));
+      return world.Reply(*caller, aUntil);
+    };
+    CPPUNIT_ASSERT(call("id1", "\r\n\r\n").starts_with("HTTP/1.1 503"));
+    CPPUNIT_ASSERT(Contains(call("id2", "other"), "200 OK"));
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t(1), world.Context().mPool.Opened());
+    CPPUNIT_ASSERT(Contains(call("id1", "ran"), "200 OK"));
+  }
+
   void TestStalledStreams()
   {
     const auto movesOn = [&](const std::string& aFirst,
