Entry: Take a refusal without an id only as the first answer

A refusal without an id counted on a new connection, also after the target had written there the answer to another request. It may belong to that one, and the caller was told that its own request, which runs, has not run.

It now counts only as the first answer on a new connection; interim answers may precede it. Otherwise the request may have run, as on a reused connection.

FieldFailuresTest::TestRefusalAmongOtherAnswers failed before, with 503 where the target's next answer belongs to the request.

--- a/Source/Entry/TargetExchange.cxx
+++ b/Source/Entry/TargetExchange.cxx
@@ -94,6 +94,7 @@
   std::string aId,
   std::unique_ptr<http::response_parser<http::buffer_body>>& aParser)
 {
+  bool isFirst = !aConnection.mReused;
   for (int late = 0; late <= kMaxLateAnswers; ++late) {
     aParser = std::make_unique<http::response_parser<http::buffer_body>>();
     aParser->body_limit(std::numeric_limits<std::uint64_t>::max());
@@ -111,11 +112,10 @@
     const auto responseHeaders =
       aContext.mCodec.ReadTargetResponseHeaders(aParser->get());
     // A refusal may come without the id, from a target that did not read the
-    // request. On a reused connection it may be the late answer to an earlier
-    // request, and this one may run.
+    // request. On a reused connection, or after the answer to another request,
+    // it may be a late answer, and this request may run.
     if (responseHeaders.mId == aId ||
-        (responseHeaders.mId.empty() && responseHeaders.mNotRun &&
-         !aConnection.mReused)) {
+        (responseHeaders.mId.empty() && responseHeaders.mNotRun && isFirst)) {
       co_return error_code{};
     }
     // The answer belongs to another request. Without a length, the start of the
@@ -123,6 +123,7 @@
     if (responseHeaders.mId.empty() || aParser->need_eof()) {
       break;
     }
+    isFirst = false;
     ec = co_await DiscardBody(aConnection, *aParser);
     if (ec) {
       co_return ec;
--- a/Tests/Entry/FieldFailuresTest.cxx
+++ b/Tests/Entry/FieldFailuresTest.cxx
@@ -105,6 +105,7 @@
   CPPUNIT_TEST_SUITE(FieldFailuresTest);
   CPPUNIT_TEST(TestSecondCopyOfAnAnswer);
   CPPUNIT_TEST(TestRefusalRepeatedAfterOtherRequests);
+  CPPUNIT_TEST(TestRefusalAmongOtherAnswers);
   CPPUNIT_TEST(TestStalledStreams);
   CPPUNIT_TEST(TestSlowSoundStreams);
   CPPUNIT_TEST(TestEndlessHeads);
@@ -238,6 +239,32 @@
     CPPUNIT_ASSERT(Contains(call("id1", "ran"), "200 OK"));
   }
 
+  void TestRefusalAmongOtherAnswers()
+  {
+    const auto answerTo = [](const std::string& aBytes) {
+      RelayWorld world;
+      world.AddTarget("t1").AddScript(
+        [&](tcp::socket& aSocket, const std::string&) {
+          WriteAll(aSocket, aBytes + RelayWorld::Answer("id1", "ran"));
+          return true;
+        });
+      world.Start();
+      const auto caller = world.Call(RelayWorld::Request("unsafe", "id1"));
+      return world.Reply(*caller, "\r\n\r\n");
+    };
+    const std::string refusal =
+      "HTTP/1.1 503 Full\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n";
+    Section("a refusal without an id on a new connection", [&] {
+      CPPUNIT_ASSERT(answerTo(refusal).starts_with("HTTP/1.1 503"));
+      CPPUNIT_ASSERT(answerTo("HTTP/1.1 102 Processing\r\n\r\n" + refusal)
+                       .starts_with("HTTP/1.1 503"));
+    });
+    Section("after the answer to another request, it may belong to that", [&] {
+      CPPUNIT_ASSERT(answerTo(RelayWorld::Answer("other", "x") + refusal)
+                       .starts_with("HTTP/1.1 502"));
+    });
+  }
+
   void TestStalledStreams()
   {
     const auto movesOn = [&](const std::string& aFirst,
