Entry: Pass on no status that promises what the target did not state

To a caller, 408, 421, 429 and 503 promise that the request has not run and never will. A target states that by a header only. Without the header, 408, 429 and 503 were passed on as they were, and 421 counted as a refusal: the caller was told that the request has not run, or another target got it.

Such an answer now proves nothing: the request may have run. The caller gets 502, or the answer of another target if the route permits one more send.

FieldFailuresTest::TestRefusalThatPromisesNothing failed before, first with 408 on a plain route.

--- a/Source/Entry/StreamRun.cxx
+++ b/Source/Entry/StreamRun.cxx
@@ -507,7 +507,7 @@
     mContext.mCodec.ReadTargetResponseHeaders(header);
   const auto status = header.result_int();
   mConnection.reset();
-  const bool notRun = responseHeaders.mNotRun || status == kStatusMisdirected;
+  const bool notRun = responseHeaders.mNotRun;
   if (notRun) {
     aConnection->mRefused.insert(mRequest->mCallerHeaders.mId);
   }
@@ -520,7 +520,8 @@
   }
   // This route serves streams only, so any other success is a failure. An error
   // answer cannot be forwarded once the stream to the caller has begun.
-  if (!aParser->is_done() || status < 300 || mCaller.HasBegun()) {
+  if (!aParser->is_done() || status < 300 || StatesNotRun(status) ||
+      mCaller.HasBegun()) {
     mRequest->mReason =
       mEngine.mId + ": broken answer, status " + std::to_string(status);
     co_return SendResult::kBroken;
--- a/Source/Entry/TargetExchange.cxx
+++ b/Source/Entry/TargetExchange.cxx
@@ -11,6 +11,7 @@
 /// Late answers to other requests that are skipped on one connection.
 constexpr int kMaxLateAnswers = 3;
 constexpr std::size_t kReadBytes = 8192;
+constexpr unsigned kStatusRequestTimeout = 408;
 /// A longer late answer fails the connection.
 constexpr std::size_t kMaxDiscardedBytes = std::size_t(256) << 10U;
 
@@ -67,6 +68,13 @@
   return aError == asio::error::connection_reset ? "reset" : "error";
 }
 
+bool
+StatesNotRun(unsigned aStatus)
+{
+  return aStatus == kStatusRequestTimeout || aStatus == kStatusMisdirected ||
+         aStatus == kStatusTooMany || aStatus == kStatusUnavailable;
+}
+
 Task<error_code>
 ReadBody(TargetConnection& aConnection,
          http::response_parser<http::buffer_body>& aParser,
@@ -205,7 +213,7 @@
   // After this the pool may hand the connection to another request, which
   // Abort() must not close.
   mConnection.reset();
-  const bool notRun = responseHeaders.mNotRun || status == kStatusMisdirected;
+  const bool notRun = responseHeaders.mNotRun;
   if (notRun) {
     connection->mRefused.insert(mRequest.mCallerHeaders.mId);
   }
@@ -221,9 +229,10 @@
     co_return outcome;
   }
   const bool success = status < 300;
-  if ((success && !responseHeaders.mSigned) ||
+  if ((success && !responseHeaders.mSigned) || StatesNotRun(status) ||
       header.count(http::field::content_encoding) > 0) {
-    outcome.mReason = "not the target's answer";
+    outcome.mReason =
+      "not the target's answer, status " + std::to_string(status);
     mContext.mHealth.Failed(aTarget.mId, now);
     co_return outcome;
   }
--- a/Source/Entry/TargetExchange.h
+++ b/Source/Entry/TargetExchange.h
@@ -64,6 +64,12 @@
 const char*
 DescribeEnd(const error_code& aError, bool aUnmarked);
 
+/// Whether an answer with aStatus states to a caller that its request has not
+/// run. A target states that by a header; without it, such an answer must not
+/// be passed on.
+bool
+StatesNotRun(unsigned aStatus);
+
 /// Reads from aConnection up to the header of aTarget's answer to request aId,
 /// and discards interim answers and late answers to other requests. What the
 /// target says of itself in any of them is recorded. On success aParser holds
--- a/Tests/Entry/FieldFailuresTest.cxx
+++ b/Tests/Entry/FieldFailuresTest.cxx
@@ -106,6 +106,7 @@
   CPPUNIT_TEST(TestSecondCopyOfAnAnswer);
   CPPUNIT_TEST(TestRefusalRepeatedAfterOtherRequests);
   CPPUNIT_TEST(TestRefusalAmongOtherAnswers);
+  CPPUNIT_TEST(TestRefusalThatPromisesNothing);
   CPPUNIT_TEST(TestStalledStreams);
   CPPUNIT_TEST(TestSlowSoundStreams);
   CPPUNIT_TEST(TestEndlessHeads);
@@ -265,6 +266,30 @@
     });
   }
 
+  void TestRefusalThatPromisesNothing()
+  {
+    // To a caller these statuses state that the request has not run, which a
+    // target states only by a header.
+    for (const auto* kind : { "unsafe", "long" }) {
+      for (const int status : { 408, 421, 429, 503 }) {
+        RelayWorld world;
+        world.AddTarget("t1").AddScript(
+          [&](tcp::socket& aSocket, const std::string&) {
+            WriteAll(aSocket,
+                     "HTTP/1.1 " + std::to_string(status) +
+                       " Odd\r\nAttempt-Id: id1\r\nResponse-Seal: s\r\n"
+                       "Content-Length: 0\r\n\r\n");
+            return true;
+          });
+        world.Start();
+        const auto caller = world.Call(RelayWorld::Request(kind, "id1"));
+        CPPUNIT_ASSERT_MESSAGE(
+          std::string(kind) + " " + std::to_string(status),
+          world.Reply(*caller, "\r\n\r\n").starts_with("HTTP/1.1 502"));
+      }
+    }
+  }
+
   void TestStalledStreams()
   {
     const auto movesOn = [&](const std::string& aFirst,
