Entry: Reuse a stream's connection only after its request was sent

A target may refuse a request while its body is still being sent. A plain request's connection was closed then, but that of a stream was put into the pool at once: the rest of the body ran into the next request on it.

The run now records whether its request was written in full, as a plain exchange does.

FieldFailuresTest::TestRefusalWhileTheBodyIsSent failed before: the target read the refused request's body where the next request should begin.

--- a/Source/Entry/StreamRun.cxx
+++ b/Source/Entry/StreamRun.cxx
@@ -448,9 +448,14 @@
   WatchProgress(connection,
                 mSentAt + FirstTokenTimeout(mExpectedFirstToken,
                                             mRequest->mRoute->mLatencyGoal));
-  http::async_write(connection->mStream,
-                    *request,
-                    [connection, request](const error_code&, std::size_t) {});
+  auto written = std::make_shared<bool>(false);
+  mWritten = written;
+  http::async_write(
+    connection->mStream,
+    *request,
+    [connection, request, written](const error_code& aError, std::size_t) {
+      *written = !aError;
+    });
   std::unique_ptr<http::response_parser<http::buffer_body>> parser;
   const auto ec = co_await ReadAnswerHeader(
     mContext, engine, *connection, mRequest->mCallerHeaders.mId, parser);
@@ -511,7 +516,7 @@
   if (notRun) {
     aConnection->mRefused.insert(mRequest->mCallerHeaders.mId);
   }
-  mContext.mPool.ReleaseOrClose(aConnection, *aParser, true);
+  mContext.mPool.ReleaseOrClose(aConnection, *aParser, *mWritten);
   if (notRun) {
     mRequest->mReason =
       mEngine.mId + ": not run, status " + std::to_string(status);
@@ -624,7 +629,7 @@
   }
   mContext.mHealth.Succeeded(mEngine.mId, mFirstEventAt - mSentAt);
   mConnection.reset();
-  mContext.mPool.ReleaseOrClose(aConnection, *aParser, true);
+  mContext.mPool.ReleaseOrClose(aConnection, *aParser, *mWritten);
   const auto ec = co_await mCaller.Complete();
   co_return ec ? SendResult::kCallerGone : SendResult::kComplete;
 }
--- a/Tests/Entry/FieldFailuresTest.cxx
+++ b/Tests/Entry/FieldFailuresTest.cxx
@@ -106,6 +106,7 @@
   CPPUNIT_TEST(TestSecondCopyOfAnAnswer);
   CPPUNIT_TEST(TestRefusalRepeatedAfterOtherRequests);
   CPPUNIT_TEST(TestRefusalAmongOtherAnswers);
+  CPPUNIT_TEST(TestRefusalWhileTheBodyIsSent);
   CPPUNIT_TEST(TestRefusalThatPromisesNothing);
   CPPUNIT_TEST(TestStalledStreams);
   CPPUNIT_TEST(TestSlowSoundStreams);
@@ -266,6 +267,46 @@
     });
   }
 
+  void TestRefusalWhileTheBodyIsSent()
+  {
+    // The rest of the refused request's body must not run into the next one.
+    for (const auto* kind : { "unsafe", "long" }) {
+      RelayWorld world;
+      auto& target = world.AddTarget("t1");
+      target.AddScript([](tcp::socket& aSocket, const std::string&) {
+        // The mark that a body is whole comes long before its end.
+        WriteAll(aSocket,
+                 "HTTP/1.1 503 Full\r\nAttempt-Id: id1\r\nNot-Executed: 1\r\n"
+                 "Keep-Alive: timeout=10\r\nContent-Length: 0\r\n\r\n");
+        return true;
+      });
+      target.AddScript([&](tcp::socket& aSocket, const std::string&) {
+        WriteAll(aSocket,
+                 std::string(kind) == "long"
+                   ? RelayWorld::StreamHead("id2") + RelayWorld::Event(1) +
+                       "0\r\n\r\n"
+                   : RelayWorld::Answer("id2", "done"));
+        return true;
+      });
+      target.ReadLittle();
+      world.Start();
+      const std::string body = "<end>" + std::string(4'000'000, 'x');
+      auto request = RelayWorld::Request(
+        kind, "id1", "Content-Length: " + std::to_string(body.size()) + "\r\n");
+      request.replace(0, 3, "POST");
+      const auto caller = world.Call("");
+      world.Send(*caller, request + body);
+      CPPUNIT_ASSERT(
+        world.Reply(*caller, "\r\n\r\n").starts_with("HTTP/1.1 503"));
+      world.RunUntil([&] { return world.Context().mActive.empty(); });
+      const auto next = world.Call(RelayWorld::Request(kind, "id2"));
+      CPPUNIT_ASSERT(
+        world.Reply(*next, "\r\n\r\n").starts_with("HTTP/1.1 200"));
+      CPPUNIT_ASSERT(target.Requests().back().starts_with(
+        "GET /" + std::string(kind) + "/x"));
+    }
+  }
+
   void TestRefusalThatPromisesNothing()
   {
     // To a caller these statuses state that the request has not run, which a
--- a/Tests/Entry/RelayWorld.cxx
+++ b/Tests/Entry/RelayWorld.cxx
@@ -72,6 +72,13 @@
   return target;
 }
 
+void
+ScriptedTarget::ReadLittle()
+{
+  constexpr int kBytes = 4096;
+  mAcceptor.set_option(asio::socket_base::receive_buffer_size(kBytes));
+}
+
 Task<void>
 ScriptedTarget::Accept()
 {
@@ -226,6 +233,16 @@
   return caller;
 }
 
+void
+RelayWorld::Send(tcp::socket& aSocket, const std::string& aBytes)
+{
+  bool sent = false;
+  asio::async_write(aSocket,
+                    asio::buffer(aBytes),
+                    [&](const error_code&, std::size_t) { sent = true; });
+  RunUntil([&] { return sent; });
+}
+
 void
 RelayWorld::RunUntil(const std::function<bool()>& aDone)
 {
--- a/Tests/Entry/RelayWorld.h
+++ b/Tests/Entry/RelayWorld.h
@@ -25,6 +25,9 @@
   const std::vector<std::string>& Requests() const { return mRequests; }
   /// The host closed a connection that the last script kept open.
   bool PeerClosed() const { return mPeerClosed; }
+  /// Leaves what arrives after a request's end in small socket buffers; called
+  /// before the first connection.
+  void ReadLittle();
 
 private:
   /// Whether aRequest has arrived in full.
@@ -66,6 +69,8 @@
   void Start();
   /// Opens a connection and sends aBytes; Reply() reads the answer.
   std::shared_ptr<tcp::socket> Call(const std::string& aBytes);
+  /// Writes aBytes while the event loop runs, as they are taken.
+  void Send(tcp::socket& aSocket, const std::string& aBytes);
   /// Reads until the connection closes or the text contains aUntil.
   std::string Reply(tcp::socket& aSocket, const std::string& aUntil);
   /// Runs the event loop until aDone returns true; fails the test when that
