Entry: Make calls about a run on connections of their own

A call to an engine, such as the one that copies a run's memory, carries no id, and neither does its reply. Calls took idle connections that had served requests, so a late refusal of a request was taken for the reply, which says of a run that was stopped and copied that the destination had no room. An interim answer was taken for the reply as well.

Calls to engines about a run now open a connection and close it afterwards, and skip interim answers. Calls to the store, which returns nothing after a lost response, and the frequent questions to engines, whose replies decide nothing alone, share connections as before.

FieldFailuresTest::TestLateAnswerInsteadOfAReply failed before with the status of the late refusal, 503 instead of 200.

--- a/Source/Entry/CallClient.cxx
+++ b/Source/Entry/CallClient.cxx
@@ -1,7 +1,10 @@
 #include "Entry/CallClient.h"
 
+#include "Core/HttpStatus.h"
 #include "Entry/HttpHeaders.h"
 
+#include <memory>
+
 namespace ragwortdeck {
 
 namespace {
@@ -9,15 +12,18 @@
 /// Limit of an answer's body; the target list of a large site takes several
 /// hundred kilobytes.
 constexpr std::uint64_t kMaxAnswerBytes = std::uint64_t(16) << 20U;
+constexpr int kMaxInterimAnswers = 3;
 
 } // namespace
 
 Task<Result<CallReply>>
 CallClient::Call(Endpoint aTo,
                  HttpCall aCall,
-                 std::chrono::milliseconds aTimeout)
+                 std::chrono::milliseconds aTimeout,
+                 Sharing aSharing)
 {
-  auto connection = co_await mPool.Acquire(aTo, false, {});
+  const bool isShared = aSharing == Sharing::kSharedConnection;
+  auto connection = co_await mPool.Acquire(aTo, !isShared, {});
   if (!connection) {
     co_return Failure(ErrorCode::kUnavailable,
                       ToText(aTo) + " cannot be reached");
@@ -39,19 +45,25 @@
     co_return Failure(ErrorCode::kUnavailable,
                       ToText(aTo) + ": " + ec.message());
   }
-  http::response_parser<http::string_body> parser;
-  parser.body_limit(kMaxAnswerBytes);
-  co_await http::async_read(
-    connection->mStream, connection->mBuffer, parser, RedirectError(ec));
+  std::unique_ptr<http::response_parser<http::string_body>> parser;
+  for (int interim = 0; interim <= kMaxInterimAnswers; ++interim) {
+    parser = std::make_unique<http::response_parser<http::string_body>>();
+    parser->body_limit(kMaxAnswerBytes);
+    co_await http::async_read(
+      connection->mStream, connection->mBuffer, *parser, RedirectError(ec));
+    if (ec || parser->get().result_int() >= kStatusOk) {
+      break;
+    }
+  }
   if (ec) {
     co_return Failure(ec == beast::error::timeout ? ErrorCode::kTimeout
                                                   : ErrorCode::kUnavailable,
                       ToText(aTo) + ": " + ec.message());
   }
-  if (parser.get().keep_alive()) {
-    mPool.Release(connection, KeepAliveSeconds(parser.get()));
+  if (isShared && parser->get().keep_alive()) {
+    mPool.Release(connection, KeepAliveSeconds(parser->get()));
   }
-  auto response = parser.release();
+  auto response = parser->release();
   co_return CallReply{ response.result_int(),
                        std::move(response.body()),
                        std::move(response.base()) };
--- a/Source/Entry/CallClient.h
+++ b/Source/Entry/CallClient.h
@@ -21,11 +21,20 @@
     : mPool(aPool)
   {
   }
+  /// \brief Whether a call shares connections with other calls and requests.
+  enum class Sharing
+  {
+    /// A late answer to an earlier request cannot be taken for the reply, which
+    /// carries no id.
+    kOwnConnection,
+    kSharedConnection,
+  };
   /// Fails when no complete answer arrives within aTimeout; the call may have
   /// been executed nevertheless.
   Task<Result<CallReply>> Call(Endpoint aTo,
                                HttpCall aCall,
-                               std::chrono::milliseconds aTimeout);
+                               std::chrono::milliseconds aTimeout,
+                               Sharing aSharing = Sharing::kOwnConnection);
 
 private:
   TargetPool& mPool;
--- a/Source/Entry/SiteFeed.cxx
+++ b/Source/Entry/SiteFeed.cxx
@@ -440,8 +440,11 @@
 SiteFeed::QueryEngine(Target aEngine)
 {
   mContext.mMetrics.Count("entry_engine_questions_total");
-  auto reply = co_await mContext.mCalls.Call(
-    aEngine.mEndpoint, mContext.mCodec.ReportCall(), kEngineQueryTimeout);
+  auto reply =
+    co_await mContext.mCalls.Call(aEngine.mEndpoint,
+                                  mContext.mCodec.ReportCall(),
+                                  kEngineQueryTimeout,
+                                  CallClient::Sharing::kSharedConnection);
   if (!reply) {
     mContext.mHealth.Failed(aEngine.mId, mContext.Now());
     co_return;
--- a/Source/Entry/StoreClient.cxx
+++ b/Source/Entry/StoreClient.cxx
@@ -15,8 +15,11 @@
 StoreClient::Call(HttpCall aCall)
 {
   mContext.mMetrics.Count("entry_store_calls_total");
-  auto reply = co_await mContext.mCalls.Call(
-    mContext.mSettings.mStore, std::move(aCall), kStoreTimeout);
+  auto reply =
+    co_await mContext.mCalls.Call(mContext.mSettings.mStore,
+                                  std::move(aCall),
+                                  kStoreTimeout,
+                                  CallClient::Sharing::kSharedConnection);
   if (!reply) {
     co_return Failure(reply.error().mCode, reply.error().mMessage);
   }
--- a/Tests/Entry/FieldFailuresTest.cxx
+++ b/Tests/Entry/FieldFailuresTest.cxx
@@ -105,6 +105,7 @@
   CPPUNIT_TEST_SUITE(FieldFailuresTest);
   CPPUNIT_TEST(TestSecondCopyOfAnAnswer);
   CPPUNIT_TEST(TestRefusalRepeatedAfterOtherRequests);
+  CPPUNIT_TEST(TestLateAnswerInsteadOfAReply);
   CPPUNIT_TEST(TestRefusalAmongOtherAnswers);
   CPPUNIT_TEST(TestRefusalWhileTheBodyIsSent);
   CPPUNIT_TEST(TestRefusalThatPromisesNothing);
@@ -241,6 +242,49 @@
     CPPUNIT_ASSERT(Contains(call("id1", "ran"), "200 OK"));
   }
 
+  void TestLateAnswerInsteadOfAReply()
+  {
+    // A call to an engine carries no id, and neither does the reply to it.
+    RelayWorld world;
+    auto& target = world.AddTarget("t1");
+    target.AddScript([](tcp::socket& aSocket, const std::string&) {
+      WriteAll(aSocket, RelayWorld::Answer("id1", "first"));
+      return true;
+    });
+    const auto reply = [&](const std::string& aBody) {
+      return [&, aBody](tcp::socket& aSocket, const std::string&) {
+        WriteAll(aSocket,
+                 (world.Context().mPool.Opened() == 1
+                    ? "HTTP/1.1 503 Full\r\nNot-Executed: 1\r\n"
+                      "Content-Length: 0\r\n\r\n"
+                    : "HTTP/1.1 102 Processing\r\n\r\n") +
+                   ("HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\n" + aBody));
+        return true;
+      };
+    };
+    target.AddScript(reply("1"));
+    target.AddScript(reply("2"));
+    world.Start();
+    const auto caller = world.Call(RelayWorld::Request("unsafe", "id1"));
+    world.Reply(*caller, "first");
+    for (const auto* body : { "1", "2" }) {
+      std::optional<std::string> got;
+      world.Context().Spawn(
+        "call",
+        [](EntryContext& aContext,
+           Endpoint aTo,
+           std::optional<std::string>& aGot) -> Task<void> {
+          const auto reply = co_await aContext.mCalls.Call(
+            aTo, aContext.mCodec.ReportCall(), Milliseconds(5000));
+          aGot = reply ? std::to_string(reply.value().mStatus) + " " +
+                           reply.value().mBody
+                       : reply.error().mMessage;
+        }(world.Context(), target.Describe("s").mEndpoint, got));
+      world.RunUntil([&] { return got.has_value(); });
+      CPPUNIT_ASSERT_EQUAL(std::string("200 ") + body, got.value_or(""));
+    }
+  }
+
   void TestRefusalAmongOtherAnswers()
   {
     const auto answerTo = [](const std::string& aBytes) {
