--- a/Tests/Entry/FieldFailuresTest.cxx
+++ b/Tests/Entry/FieldFailuresTest.cxx
@@ -1,5 +1,6 @@
 #include "Entry/PendingConnection.h"
 #include "Entry/RelayWorld.h"
+#include "Entry/StreamRun.h"
 #include "Entry/TargetExchange.h"
 #include "Support/Section.h"
 
@@ -109,6 +110,7 @@
   CPPUNIT_TEST(TestRefusalAmongOtherAnswers);
   CPPUNIT_TEST(TestRefusalWhileTheBodyIsSent);
   CPPUNIT_TEST(TestRefusalThatPromisesNothing);
+  CPPUNIT_TEST(TestMovedRunThatCannotContinue);
   CPPUNIT_TEST(TestStalledStreams);
   CPPUNIT_TEST(TestSlowSoundStreams);
   CPPUNIT_TEST(TestEndlessHeads);
@@ -375,6 +377,62 @@
     }
   }
 
+  void TestMovedRunThatCannotContinue()
+  {
+    // A run that was stopped for its last copy has run, though neither engine
+    // can be reached any more.
+    RelayWorld world;
+    world.mEngine = EngineLimits{ 8, 100000, 1, 1000, 1, true };
+    auto& leaving = world.AddTarget("t1");
+    auto& destination = world.AddTarget("t2");
+    auto& third = world.AddTarget("t3");
+    third.AddScript([](tcp::socket& aSocket, const std::string&) {
+      WriteAll(aSocket,
+               RelayWorld::StreamHead("id1") + RelayWorld::Event(2) +
+                 "0\r\n\r\n");
+      return false;
+    });
+    tcp::socket* stream = nullptr;
+    leaving.AddScript([&](tcp::socket& aSocket, const std::string&) {
+      stream = &aSocket;
+      WriteAll(aSocket, RelayWorld::StreamHead("id1") + RelayWorld::Event(1));
+      return true;
+    });
+    const std::string copied = "HTTP/1.1 200 OK\r\nContent-Length: 31\r\n\r\n"
+                               R"({"handle":"h1","created_at": 1})";
+    leaving.AddScript([&](tcp::socket& aSocket, const std::string&) {
+      WriteAll(aSocket, copied);
+      return true;
+    });
+    leaving.AddScript([&](tcp::socket& aSocket, const std::string&) {
+      auto last = copied;
+      WriteAll(aSocket,
+               last.insert(last.find("Content"), "Connection: close\r\n"));
+      leaving.StopListening();
+      destination.StopListening();
+      stream->close();
+      return false;
+    });
+    world.Start();
+    world.Context().mLoad.SetPeer(
+      "other host",
+      { { "t2", 1, 100, 50000 }, { "t3", 1, 100, 60000 } },
+      world.Context().Now());
+    const auto caller = world.Call(RelayWorld::Request("long", "id1"));
+    CPPUNIT_ASSERT(Contains(world.Reply(*caller, "id: 1\n"), "id: 1\n"));
+    StreamRun::MovePlan plan;
+    plan.mDestination = "t2";
+    plan.mFirstCopyAt = world.Context().Now();
+    plan.mLatestStop = plan.mFirstCopyAt + std::chrono::seconds(30);
+    plan.mMayStop = [] { return true; };
+    world.Context().mStreams.begin()->second->StartMove(std::move(plan));
+    const auto end = world.Reply(*caller, kEndOfStream);
+    CPPUNIT_ASSERT(!Contains(end, kEndOfStream));
+    CPPUNIT_ASSERT_EQUAL(std::size_t(2 + 1), leaving.Requests().size());
+    Section("it is not sent to another engine",
+            [&] { CPPUNIT_ASSERT(third.Requests().empty()); });
+  }
+
   void TestStalledStreams()
   {
     const auto movesOn = [&](const std::string& aFirst,
--- a/Tests/Entry/RelayWorld.h
+++ b/Tests/Entry/RelayWorld.h
@@ -25,6 +25,8 @@
   const std::vector<std::string>& Requests() const { return mRequests; }
   /// The host closed a connection that the last script kept open.
   bool PeerClosed() const { return mPeerClosed; }
+  /// Refuses connections from now on.
+  void StopListening() { mAcceptor.close(); }
   /// Leaves what arrives after a request's end in small socket buffers; called
   /// before the first connection.
   void ReadLittle();
