Entry: Cut a stream that its next engine continues with an error

An operator of a similar system reported: a stream broke off, the next server answered with an error, and callers found the error's text in their stream, or the stream ended as if it were complete.

Answers with another status or type, or without a signature, were never relayed. But an engine that answered with a signed stream whose event is an error, without a number, had that event relayed, and the caller's stream was completed after it.

An engine that continues a stream does so with a numbered event. Any other event before that, except comments and reconnection times, now fails the engine, and its bytes are not relayed. Events without a number after it are relayed as before.

--- a/Source/Entry/StreamRun.cxx
+++ b/Source/Entry/StreamRun.cxx
@@ -543,6 +543,8 @@
   std::vector<char> buf(kReadBytes);
   EventSplitter events;
   bool first = true;
+  // An engine that continues a stream does so with the next numbered event.
+  bool continues = !ParseEventNumber(mLastEventId);
   while (true) {
     while (auto event = events.Next()) {
       const auto now = mContext.Now();
@@ -556,6 +558,13 @@
       if (id && last && *id <= *last) {
         continue;
       }
+      continues = continues || id;
+      if (!continues && !event->IsComment()) {
+        mRequest->mReason = mEngine.mId + ": not a continuation of the stream";
+        mContext.mHealth.Failed(mEngine.mId, now);
+        aConnection->Close();
+        co_return SendResult::kBroken;
+      }
       if (event->mHasContent) {
         RecordProgress(now);
         if (mEvents == 0) {
--- a/Source/Serving/EventSplitter.cxx
+++ b/Source/Serving/EventSplitter.cxx
@@ -33,6 +33,22 @@
 
 } // namespace
 
+bool
+StreamEvent::IsComment() const
+{
+  std::string_view rest(mBytes);
+  while (!rest.empty()) {
+    const auto end = rest.find('\n');
+    const auto line = rest.substr(0, end);
+    if (!line.empty() && line != "\r" && !line.starts_with(':') &&
+        !line.starts_with("retry:")) {
+      return false;
+    }
+    rest.remove_prefix(end == std::string_view::npos ? rest.size() : end + 1);
+  }
+  return true;
+}
+
 std::optional<StreamEvent>
 EventSplitter::Next()
 {
--- a/Source/Serving/EventSplitter.h
+++ b/Source/Serving/EventSplitter.h
@@ -15,6 +15,8 @@
   /// It has an id or data, unlike a comment that only keeps a connection open.
   bool mHasContent = false;
   bool operator==(const StreamEvent&) const = default;
+  /// Whether it has no lines but comments and reconnection times.
+  bool IsComment() const;
 };
 
 /// \brief Splits a byte stream (text/event-stream) into complete events.
--- a/Tests/Entry/FieldFailuresTest.cxx
+++ b/Tests/Entry/FieldFailuresTest.cxx
@@ -111,6 +111,7 @@
   CPPUNIT_TEST(TestRefusalWhileTheBodyIsSent);
   CPPUNIT_TEST(TestRefusalThatPromisesNothing);
   CPPUNIT_TEST(TestMovedRunThatCannotContinue);
+  CPPUNIT_TEST(TestErrorAfterAStreamHasBegun);
   CPPUNIT_TEST(TestStalledStreams);
   CPPUNIT_TEST(TestSlowSoundStreams);
   CPPUNIT_TEST(TestEndlessHeads);
@@ -433,6 +434,95 @@
             [&] { CPPUNIT_ASSERT(third.Requests().empty()); });
   }
 
+  void TestErrorAfterAStreamHasBegun()
+  {
+    const auto streamAfter = [](const std::string& aSecond) {
+      RelayWorld world;
+      auto& first = world.AddTarget("t1");
+      auto& second = world.AddTarget("t2");
+      first.AddScript([](tcp::socket& aSocket, const std::string&) {
+        WriteAll(aSocket, RelayWorld::StreamHead("id1") + RelayWorld::Event(1));
+        return false;
+      });
+      second.AddScript([&](tcp::socket& aSocket, const std::string&) {
+        WriteAll(aSocket, aSecond);
+        return false;
+      });
+      world.Start();
+      world.Context().mHealth.Unreachable("t2", world.Context().Now());
+      const auto caller = world.Call(RelayWorld::Request("short", "id1"));
+      auto reply = world.Reply(*caller, kEndOfStream);
+      CPPUNIT_ASSERT_EQUAL(std::size_t(1), second.Requests().size());
+      CPPUNIT_ASSERT(Contains(reply, "id: 1\n"));
+      CPPUNIT_ASSERT_EQUAL(reply.find("HTTP/1.1"), reply.rfind("HTTP/1.1"));
+      return reply;
+    };
+    const auto isCut = [&](const std::string& aSecond) {
+      const auto reply = streamAfter(aSecond);
+      return !Contains(reply, "oops") && !Contains(reply, "0\r\n\r\n");
+    };
+    const std::string common = " X\r\nAttempt-Id: id1\r\nResponse-Seal: s\r\n";
+    const std::string plain =
+      "Content-Type: text/plain\r\nContent-Length: 4\r\n\r\noops";
+    const std::string chunked =
+      "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n";
+    const std::string end = "0\r\n\r\n";
+    const auto answer = [&](const std::string& aStatus,
+                            const std::string& aRest) {
+      return "HTTP/1.1 " + aStatus + common + aRest;
+    };
+    const auto refusal = "Not-Executed: 1\r\n" + plain;
+    const auto stream = [&](const std::string& aEvent) {
+      return answer("200", chunked + Chunk(aEvent) + end);
+    };
+    const auto lateInStream = [&](const std::string& aEvent) {
+      return answer("200",
+                    chunked + Chunk(": wait\n\n") + RelayWorld::Event(1) +
+                      Chunk(aEvent) + end);
+    };
+    Section("an error with a body", [&] {
+      for (const auto* status :
+           { "200", "201", "302", "400", "404", "429", "500", "503" }) {
+        CPPUNIT_ASSERT_MESSAGE(status, isCut(answer(status, plain)));
+        CPPUNIT_ASSERT_MESSAGE(status, isCut(answer(status, refusal)));
+      }
+    });
+    Section("an error in chunks, that claims to be a stream", [&] {
+      CPPUNIT_ASSERT(isCut("HTTP/1.1 500" + common + chunked +
+                           Chunk("id: 2\ndata: oops\n\n") + end));
+    });
+    Section("no content",
+            [&] { CPPUNIT_ASSERT(isCut("HTTP/1.1 204" + common + "\r\n")); });
+    Section("a stream without a signature", [&] {
+      CPPUNIT_ASSERT(isCut("HTTP/1.1 200 OK\r\nAttempt-Id: id1\r\n" + chunked +
+                           Chunk("id: 2\ndata: oops\n\n") + end));
+    });
+    Section("an error as the event of a stream", [&] {
+      for (const auto* event : { "event: error\ndata: oops\n\n",
+                                 "data: {\"error\":\"oops\"}\n\n",
+                                 "event: oops\n\n",
+                                 "oops\n\n",
+                                 "oops" }) {
+        CPPUNIT_ASSERT_MESSAGE(event, isCut(stream(event)));
+        CPPUNIT_ASSERT_MESSAGE(event, isCut(lateInStream(event)));
+      }
+    });
+    Section("an error after a partial event", [&] {
+      CPPUNIT_ASSERT(isCut("HTTP/1.1 200" + common + chunked +
+                           Chunk("id: 2\nda") + "HTTP/1.1 500" + common +
+                           plain));
+    });
+    Section("a stream that goes on is complete, comments included", [&] {
+      const auto reply = streamAfter(
+        "HTTP/1.1 200" + common + chunked + Chunk(": wait\n\n") +
+        Chunk("retry: 10\n\n") + RelayWorld::Event(1) + RelayWorld::Event(2) +
+        Chunk("data: without an id\n\n") + end);
+      CPPUNIT_ASSERT(reply.ends_with(kEndOfStream));
+      CPPUNIT_ASSERT(Contains(reply, "id: 2\n"));
+      CPPUNIT_ASSERT(Contains(reply, "without an id"));
+    });
+  }
+
   void TestStalledStreams()
   {
     const auto movesOn = [&](const std::string& aFirst,
