--- a/Tests/Entry/HostDiscoveryTest.cxx
+++ b/Tests/Entry/HostDiscoveryTest.cxx
@@ -3,6 +3,7 @@
 #include "FleetCodec.h"
 #include "Support/Section.h"
 
+#include <QByteArray>
 #include <algorithm>
 #include <cppunit/extensions/HelperMacros.h>
 #include <fcntl.h>
@@ -225,6 +226,7 @@
   CPPUNIT_TEST_SUITE(HostDiscoveryTest);
   CPPUNIT_TEST(TestFleetStart);
   CPPUNIT_TEST(TestSingleHosts);
+  CPPUNIT_TEST(TestOddEntries);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -278,6 +280,35 @@
               });
             });
   }
+
+  void TestOddEntries()
+  {
+    Section("hosts find each other beside entries of another writer", [&] {
+      Fleet fleet;
+      const std::vector<std::string> odd = {
+        "",
+        std::string(200'000, '['),
+        "\xff\xfe",
+        "10.0.0.1\r\nX: 1",
+        "10.0.0.256",
+        "0.0.0.0",
+        "255.255.255.255",
+        "224.0.0.1",
+        "::1",
+        "a.example",
+        "{\"host\":\"10.0.0.1\"}",
+        "127.0.4.1:70000",
+      };
+      for (std::size_t i = 0; i < odd.size(); ++i) {
+        fleet.Store().Entries()["entry/odd-" + std::to_string(i)] =
+          QByteArray::fromStdString(odd[i]).toBase64().toStdString();
+      }
+      fleet.Store().Entries()["entry/odd-bytes"] = "not base64 !";
+      fleet.Start(0, { 200 });
+      fleet.Start(1, { 201 });
+      fleet.RunUntil([&] { return fleet.AllKnowEachOther(); });
+    });
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(HostDiscoveryTest);
--- a/Tests/FleetCodec/FleetCodecTest.cxx
+++ b/Tests/FleetCodec/FleetCodecTest.cxx
@@ -2,6 +2,7 @@
 #include "Support/Section.h"
 
 #include <QByteArray>
+#include <algorithm>
 #include <cppunit/extensions/HelperMacros.h>
 
 namespace ragwortdeck {
@@ -14,6 +15,33 @@
   return QByteArray::fromStdString(aText).toBase64().toStdString();
 }
 
+/// An item of the store with a target's entry.
+std::string
+Item(const std::string& aId, const std::string& aValue)
+{
+  return "{\"key\":\"servers/" + aId + "\",\"value\":\"" + Base64(aValue) +
+         "\",\"revision\":3}";
+}
+
+constexpr const char* kEntry =
+  R"({"service":"s","address":"10.0.0.9:8080","zone":"a","version":1,)"
+  R"("slots":24,"state":"ready","cold_remaining_ms":250.5,"sequence":2,)"
+  R"("born":1700000000000})";
+
+std::string
+Replaced(std::string aText, const std::string& aFrom, const std::string& aTo)
+{
+  return aText.replace(aText.find(aFrom), aFrom.size(), aTo);
+}
+
+/// Arrays in one another, deeper than a recursion could follow.
+std::string
+Nested()
+{
+  constexpr std::size_t kLevels = 100000;
+  return std::string(kLevels, '[') + std::string(kLevels, ']');
+}
+
 constexpr const char* kTable = R"({"version":7,"routes":[
  {"name":"r1","host":"h","path_prefix":"/a/","kind":"streaming",
   "timeout_ms":6000,"goal_ms":1500,"priority":0,"service":"s1",
@@ -37,6 +65,8 @@
   CPPUNIT_TEST(TestHosts);
   CPPUNIT_TEST(TestHugeNumbers);
   CPPUNIT_TEST(TestTargets);
+  CPPUNIT_TEST(TestOddEntries);
+  CPPUNIT_TEST(TestNestedWithoutEnd);
   CPPUNIT_TEST(TestRequests);
   CPPUNIT_TEST(TestResponses);
   CPPUNIT_TEST(TestCalls);
@@ -192,6 +222,132 @@
     });
   }
 
+  void TestOddEntries()
+  {
+    // An entry of another writer names no target to use; the others hold.
+    const FleetCodec codec;
+    const auto good = Item("i-1", kEntry);
+    const auto isUsed = [&](const std::string& aItem) {
+      const auto page = codec.ReadTargets("{\"items\":[" + aItem + "," + good +
+                                          "],\"current_rev\":3}");
+      const auto changes = codec.ReadTargetChanges(
+        "{\"events\":[" + aItem + "," + good + "],\"current_rev\":3}");
+      CPPUNIT_ASSERT(page && changes);
+      const auto& list = page.value().mList.mTargets;
+      const auto& changed = changes.value().mTargets;
+      CPPUNIT_ASSERT(list.contains("i-1") && changed.at("i-1"));
+      const auto used = list.size() - 1;
+      CPPUNIT_ASSERT_EQUAL(
+        used,
+        static_cast<std::size_t>(
+          std::count_if(changed.begin(),
+                        changed.end(),
+                        [](const auto& it) { return it.second.has_value(); }) -
+          1));
+      return used == 1;
+    };
+    const auto isUsedWith = [&](const char* aFrom, const std::string& aTo) {
+      return isUsed(Item("odd", Replaced(kEntry, aFrom, aTo)));
+    };
+    Section("a target's own entry",
+            [&] { CPPUNIT_ASSERT(isUsed(Item("i-2", kEntry))); });
+    Section("without the fields that are not needed", [&] {
+      CPPUNIT_ASSERT(isUsedWith(",\"born\":1700000000000", ""));
+      CPPUNIT_ASSERT(isUsedWith("\"version\":1", "\"version\":\"1.2\""));
+    });
+    Section("a number out of range", [&] {
+      for (const auto* slots : { "4294967297",
+                                 "2147483648",
+                                 "9223372036854775808",
+                                 "18446744073709551617",
+                                 "1e400",
+                                 "-1" }) {
+        CPPUNIT_ASSERT(
+          !isUsedWith("\"slots\":24", "\"slots\":" + std::string(slots)));
+      }
+      for (const auto* cold : { "1e300", "-1e300", "1e400", "\"250\"", "{}" }) {
+        CPPUNIT_ASSERT(!isUsedWith("250.5", cold));
+      }
+      for (const auto* sequence : { "1e400", "2.5", "\"2\"", "-1" }) {
+        CPPUNIT_ASSERT(!isUsedWith("\"sequence\":2",
+                                   "\"sequence\":" + std::string(sequence)));
+      }
+    });
+    Section("a start time or a state of another type", [&] {
+      for (const auto* odd : { "\"1700000000000\"", "1.5", "null", "[]" }) {
+        CPPUNIT_ASSERT(!isUsedWith("1700000000000", odd));
+      }
+      for (const auto* odd : { "1", "null", "[\"ready\"]", "\"Ready\"" }) {
+        CPPUNIT_ASSERT(!isUsedWith("\"ready\"", odd));
+      }
+    });
+    Section("an address that cannot be connected to", [&] {
+      for (const auto* odd : { "10.0.0.9:0",
+                               "10.0.0.9:65536",
+                               "10.0.0.9:-1",
+                               "10.0.0.9:99999999999999999999",
+                               "10.0.0.9:8080x",
+                               "10.0.0.9:",
+                               "10.0.0:8080",
+                               "10.0.0.256:8080",
+                               "a.example:8080",
+                               "10.0.0.9\\u0000:8080",
+                               "0.0.0.0:8080",
+                               "224.0.0.1:8080",
+                               "255.255.255.255:8080",
+                               ":8080" }) {
+        CPPUNIT_ASSERT_MESSAGE(odd, !isUsedWith("10.0.0.9:8080", odd));
+      }
+    });
+    Section("text with control characters", [&] {
+      CPPUNIT_ASSERT(!isUsed(Item("i\\r\\nHold: 1", kEntry)));
+      CPPUNIT_ASSERT(!isUsed(Item("i\\u0000", kEntry)));
+      CPPUNIT_ASSERT(!isUsed(Item("", kEntry)));
+      CPPUNIT_ASSERT(
+        !isUsedWith("\"service\":\"s\"", "\"service\":\"s\\r\\n\""));
+      CPPUNIT_ASSERT(!isUsedWith("\"service\":\"s\"", "\"service\":\"\""));
+      CPPUNIT_ASSERT(!isUsedWith("\"zone\":\"a\"", "\"zone\":\"\\n\""));
+    });
+    Section("bytes that are not JSON in UTF-8", [&] {
+      CPPUNIT_ASSERT(!isUsedWith("\"zone\":\"a\"", "\"zone\":\"\xff\""));
+      CPPUNIT_ASSERT(!isUsed(Item("odd", "")));
+      CPPUNIT_ASSERT(!isUsed(Item("odd", std::string(3, '\0'))));
+    });
+    Section("an entry that turns odd is a target that has gone", [&] {
+      const auto changes =
+        codec.ReadTargetChanges("{\"events\":[" + good + "," +
+                                Item("i-1", Nested()) + "],\"current_rev\":3}");
+      CPPUNIT_ASSERT(!changes.value().mTargets.at("i-1"));
+    });
+  }
+
+  void TestNestedWithoutEnd()
+  {
+    const FleetCodec codec;
+    const auto nested = Nested();
+    Section("in an entry", [&] {
+      for (const auto& value :
+           { nested,
+             "{\"service\":" + nested + "}",
+             Replaced(kEntry, "\"version\":1", "\"x\":" + nested),
+             nested.substr(0, nested.size() / 2) }) {
+        const auto page = codec.ReadTargets(
+          "{\"items\":[" + Item("odd", value) + "],\"current_rev\":3}");
+        CPPUNIT_ASSERT(page);
+      }
+    });
+    Section("in a reply of the store or of a target", [&] {
+      CPPUNIT_ASSERT(
+        !codec.ReadTargets("{\"items\":" + nested + ",\"current_rev\":3}"));
+      CPPUNIT_ASSERT(!codec.ReadTargetChanges("{\"events\":" + nested + "}"));
+      CPPUNIT_ASSERT(!codec.ReadHosts("{\"items\":" + nested + "}"));
+      CPPUNIT_ASSERT(!codec.ReadStoreValue("{\"value\":" + nested + "}"));
+      CPPUNIT_ASSERT(!codec.ReadTable("{\"routes\":" + nested + "}"));
+      CPPUNIT_ASSERT(!codec.ReadReport(nested));
+      CPPUNIT_ASSERT(!codec.ReadLease("{\"lease\":" + nested + "}"));
+    });
+  }
+
   void TestRequests()
   {
     const FleetCodec codec;
