Entry: Follow the target list beside a key that is no text

The store's replies repeat keys as they were written. One key with bytes that are not UTF-8, or with half of a surrogate pair, made the reply invalid as a whole: the target list, its changes and the host list were not followed any more for as long as the key was there.

--- a/Tests/FleetCodec/FleetCodecTest.cxx
+++ b/Tests/FleetCodec/FleetCodecTest.cxx
@@ -67,6 +67,7 @@
   CPPUNIT_TEST(TestTargets);
   CPPUNIT_TEST(TestOddEntries);
   CPPUNIT_TEST(TestNestedWithoutEnd);
+  CPPUNIT_TEST(TestKeysThatAreNoText);
   CPPUNIT_TEST(TestRequests);
   CPPUNIT_TEST(TestResponses);
   CPPUNIT_TEST(TestCalls);
@@ -348,6 +349,36 @@
     });
   }
 
+  void TestKeysThatAreNoText()
+  {
+    // A store repeats a key as it was written; the list is followed all the
+    // same.
+    const FleetCodec codec;
+    for (const auto* key :
+         { "\xff\xfe", "\\ud800", "\\udc00x", "\\\\\\ud800" }) {
+      const auto items = "[" + Item(key, kEntry) + "," + Item("i-1", kEntry) +
+                         ",{\"key\":\"servers/i-2\",\"tombstone\":true}]";
+      const auto page =
+        codec.ReadTargets("{\"items\":" + items + ",\"current_rev\":3}");
+      CPPUNIT_ASSERT_MESSAGE(key, page);
+      CPPUNIT_ASSERT(page.value().mList.mTargets.contains("i-1"));
+      const auto changes =
+        codec.ReadTargetChanges("{\"events\":" + items + ",\"current_rev\":3}");
+      CPPUNIT_ASSERT(changes && changes.value().mTargets.at("i-1") &&
+                     !changes.value().mTargets.at("i-2"));
+      const auto hosts =
+        codec.ReadHosts("{\"items\":[" + Item(key, "10.0.0.1") + "," +
+                        Item("x", "10.0.0.2") + "],\"has_more\":false}");
+      CPPUNIT_ASSERT(hosts && hosts.value().mHosts.back() == "10.0.0.2");
+    }
+    Section("valid escapes are kept", [&] {
+      const auto page = codec.ReadTargets(
+        "{\"items\":[" + Item("\\ud83d\\ude00", kEntry) + "," +
+        Item("\\ud800", kEntry) + "],\"current_rev\":3}");
+      CPPUNIT_ASSERT(page.value().mList.mTargets.contains("\xf0\x9f\x98\x80"));
+    });
+  }
+
   void TestRequests()
   {
     const FleetCodec codec;
