--- a/Tests/FleetCodec/FleetCodecTest.cxx
+++ b/Tests/FleetCodec/FleetCodecTest.cxx
@@ -68,6 +68,7 @@
   CPPUNIT_TEST(TestOddEntries);
   CPPUNIT_TEST(TestNestedWithoutEnd);
   CPPUNIT_TEST(TestKeysThatAreNoText);
+  CPPUNIT_TEST(TestHeaderLines);
   CPPUNIT_TEST(TestRequests);
   CPPUNIT_TEST(TestResponses);
   CPPUNIT_TEST(TestCalls);
@@ -347,6 +348,9 @@
       CPPUNIT_ASSERT(!codec.ReadReport(nested));
       CPPUNIT_ASSERT(!codec.ReadLease("{\"lease\":" + nested + "}"));
     });
+    Section("as the handle of a copy", [&] {
+      CPPUNIT_ASSERT(!codec.ReadMove("{\"handle\":" + nested + "}"));
+    });
   }
 
   void TestKeysThatAreNoText()
@@ -379,6 +383,27 @@
     });
   }
 
+  void TestHeaderLines()
+  {
+    // What another process states must not end a line of a request's header.
+    const FleetCodec codec;
+    Section("the handle of a copy", [&] {
+      CPPUNIT_ASSERT(!codec.ReadMove(R"({"handle":"h\r\nHold: 1"})"));
+      CPPUNIT_ASSERT(!codec.ReadMove(R"({"handle":""})"));
+      CPPUNIT_ASSERT(!codec.ReadMove(R"({"handle":{"a":1}})"));
+      CPPUNIT_ASSERT_EQUAL(std::string("12"),
+                           codec.ReadMove(R"({"handle":12})").value().mHandle);
+    });
+    Section("the id of an event", [&] {
+      TargetRequestHeaders to;
+      to.mTarget = "i-1";
+      to.mLastEventId = "17\rHold: 1";
+      HttpFields out;
+      codec.WriteTargetRequestHeaders(to, out);
+      CPPUNIT_ASSERT(out.find("Last-Event-Id") == out.end());
+    });
+  }
+
   void TestRequests()
   {
     const FleetCodec codec;
