--- a/Tests/FleetCodec/FleetCodecTest.cxx
+++ b/Tests/FleetCodec/FleetCodecTest.cxx
@@ -4,6 +4,7 @@
 #include <QByteArray>
 #include <algorithm>
 #include <cppunit/extensions/HelperMacros.h>
+#include <limits>
 
 namespace ragwortdeck {
 
@@ -68,6 +69,7 @@
   CPPUNIT_TEST(TestOddEntries);
   CPPUNIT_TEST(TestNestedWithoutEnd);
   CPPUNIT_TEST(TestKeysThatAreNoText);
+  CPPUNIT_TEST(TestNumbersOutOfRange);
   CPPUNIT_TEST(TestHeaderLines);
   CPPUNIT_TEST(TestRequests);
   CPPUNIT_TEST(TestResponses);
@@ -383,6 +385,75 @@
     });
   }
 
+  void TestNumbersOutOfRange()
+  {
+    // Without a limit, such numbers are narrowed without notice.
+    const FleetCodec codec;
+    const auto tableWith = [&](const char* aFrom, const std::string& aTo) {
+      return codec.ReadTable(Replaced(kTable, aFrom, aTo));
+    };
+    Section("in the table", [&] {
+      for (const auto* number :
+           { "4294967298", "1e300", "9223372036854775808" }) {
+        const std::string text = number;
+        auto table = tableWith("\"slots\":24", "\"slots\":" + text);
+        CPPUNIT_ASSERT(table.value().FindService("s1")->mEngine->mSlots >
+                       1'000'000);
+        table =
+          tableWith("\"max_connections\":538", "\"max_connections\":" + text);
+        CPPUNIT_ASSERT(table.value().FindService("s1")->mMaxConnections >
+                       1'000'000);
+        table = tableWith("34149", text);
+        CPPUNIT_ASSERT(table.value().FindService("s1")->mEngine->mMemoryTokens >
+                       1'000'000);
+        table = tableWith("\"stride\":4", "\"stride\":" + text);
+        CPPUNIT_ASSERT(
+          table.value().FindService("s1")->mEngine->mTokensPerEvent >
+          1'000'000);
+        table = tableWith("\"max_attempts\":2", "\"max_attempts\":" + text);
+        CPPUNIT_ASSERT(table.value().FindRoute("h", "/a/")->mMaxAttempts >
+                       1'000'000);
+        table = tableWith("\"priority\":0", "\"priority\":" + text);
+        CPPUNIT_ASSERT(table.value().FindRoute("h", "/a/")->mPriority >
+                       1'000'000);
+        table =
+          tableWith("\"max_body_bytes\":100", "\"max_body_bytes\":" + text);
+        CPPUNIT_ASSERT(table.value().Limits().mBodyBytes > 1'000'000);
+        table = tableWith("\"priority\":1", "\"priority\":" + text);
+        CPPUNIT_ASSERT(table);
+      }
+      CPPUNIT_ASSERT(!tableWith("\"version\":7", "\"version\":1e300"));
+      CPPUNIT_ASSERT(!tableWith("\"version\":7", "\"version\":1e400"));
+      CPPUNIT_ASSERT(
+        !tableWith("\"version\":7", "\"version\":9223372036854775808"));
+    });
+    Section("in a revision", [&] {
+      for (const auto* number : { "1e300", "9223372036854775808", "1e400" }) {
+        const std::string text = number;
+        CPPUNIT_ASSERT(
+          !codec.ReadTargets("{\"items\":[],\"current_rev\":" + text + "}"));
+        CPPUNIT_ASSERT(!codec.ReadTargetChanges(
+          "{\"events\":[],\"current_rev\":" + text + "}"));
+        CPPUNIT_ASSERT(
+          !codec.ReadStoreValue("{\"value\":\"\",\"revision\":" + text + "}"));
+        CPPUNIT_ASSERT(!codec.ReadLease("{\"lease\":" + text + "}"));
+      }
+    });
+    Section("in the load that a target states", [&] {
+      HttpFields fields;
+      fields.set("Server-Load", "4294967298,2147483647,-4294967295");
+      const auto load = *codec.ReadTargetResponseHeaders(fields).mLoad;
+      CPPUNIT_ASSERT(load.mRunning > 1'000'000 && load.mWaiting > 1'000'000);
+      CPPUNIT_ASSERT(load.mRunning <=
+                     std::numeric_limits<int>::max() - load.mWaiting);
+      CPPUNIT_ASSERT(load.mSlots <= 0);
+    });
+    Section("in the answer to a copy call", [&] {
+      const auto move = codec.ReadMove(R"({"handle":"h1","created_at":1e300})");
+      CPPUNIT_ASSERT(move && move.value().mEvents > 1'000'000);
+    });
+  }
+
   void TestHeaderLines()
   {
     // What another process states must not end a line of a request's header.
