Entry: Go on at the engine that a stream left when its copy is refused

A stream that was stopped for a move broke off when the destination refused it, although the engine that it left still held its memory.

Cause: ResumeAfterMove() went back to that engine only if the destination could not be reached. A refusal states that nothing has run, so the engine that was left is now asked in this case too; if the handle is used up, it refuses, and the stream is broken off as before.

Test: MovedRunTest::TestDestinationRefusesStoppedRun failed on the code before (test-entry: 42 run, this one failed) and passes with the change (test-entry: OK, 42), with -O0.

--- a/Source/Entry/StreamRun.cxx
+++ b/Source/Entry/StreamRun.cxx
@@ -885,9 +885,9 @@
   ReleaseMoveReservation();
   mContext.mMetrics.Count("entry_moves_total");
   auto sent = co_await SendOnce(aMoved.mMemory);
-  if (sent == SendResult::kNotSent && aMoved.mDestination.mId != source.mId &&
-      !mRequest->HasEnded()) {
-    // Nothing was sent, so the handle is unused and still valid at the source.
+  if ((sent == SendResult::kNotSent || sent == SendResult::kNotRun) &&
+      aMoved.mDestination.mId != source.mId && !mRequest->HasEnded()) {
+    // Nothing has run, so the handle may still be valid at the source.
     SetEngine(source, true);
     sent = co_await SendOnce(aMoved.mMemory);
   }
--- a/Tests/Entry/MovedRunTest.cxx
+++ b/Tests/Entry/MovedRunTest.cxx
@@ -10,6 +10,7 @@
 {
   CPPUNIT_TEST_SUITE(MovedRunTest);
   CPPUNIT_TEST(TestStoppedRunIsNotRunAgain);
+  CPPUNIT_TEST(TestDestinationRefusesStoppedRun);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -64,6 +65,60 @@
     CPPUNIT_ASSERT(!Contains(world.Reply(*caller, kEndOfStream), kEndOfStream));
     CPPUNIT_ASSERT(other.Requests().empty());
   }
+
+  void TestDestinationRefusesStoppedRun()
+  {
+    // Guards against a stream that ends with a refusal by the destination of
+    // its copy while the engine that it left still holds the memory.
+    RelayWorld world;
+    world.mEngine = EngineLimits{ 8, 100000, 1, 1000, 1, true };
+    auto& leaving = world.AddTarget("t1");
+    auto& destination = world.AddTarget("t2");
+    const std::string copied = "HTTP/1.1 200 OK\r\nContent-Length: 30\r\n\r\n"
+                               R"({"handle":"h1","created_at":1})";
+    tcp::socket* stream = nullptr;
+    leaving.AddScript([&](tcp::socket& aSocket, const std::string&) {
+      stream = &aSocket;
+      WriteAll(aSocket, RelayWorld::StreamHead("id1") + RelayWorld::Event(1));
+      return true;
+    });
+    leaving.AddScript([&](tcp::socket& aSocket, const std::string&) {
+      WriteAll(aSocket, copied);
+      return true;
+    });
+    leaving.AddScript([&](tcp::socket& aSocket, const std::string&) {
+      WriteAll(aSocket, copied);
+      stream->close();
+      return false;
+    });
+    leaving.AddScript([](tcp::socket& aSocket, const std::string&) {
+      WriteAll(aSocket,
+               RelayWorld::StreamHead("id1") + RelayWorld::Event(2) +
+                 "0\r\n\r\n");
+      return false;
+    });
+    destination.AddScript([](tcp::socket& aSocket, const std::string&) {
+      WriteAll(aSocket,
+               "HTTP/1.1 503 Full\r\nNot-Executed: 1\r\nAttempt-Id: id1\r\n"
+               "Content-Length: 0\r\n\r\n");
+      return false;
+    });
+    world.Start();
+    world.Context().mHealth.Unreachable("t2", world.Context().Now());
+    const auto caller = world.Call(RelayWorld::Request("long", "id1"));
+    CPPUNIT_ASSERT(Contains(world.Reply(*caller, "id: 1\n"), "id: 1\n"));
+    const auto now = world.Context().Now();
+    StreamRun::MovePlan plan;
+    plan.mDestination = "t2";
+    plan.mFirstCopyAt = now;
+    plan.mLatestStop = now + std::chrono::seconds(30);
+    plan.mMayStop = [] { return true; };
+    world.Context().mStreams.begin()->second->StartMove(std::move(plan));
+    const auto reply = world.Reply(*caller, kEndOfStream);
+    CPPUNIT_ASSERT(Contains(reply, "id: 2\n"));
+    CPPUNIT_ASSERT(reply.ends_with(kEndOfStream));
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), destination.Requests().size());
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(MovedRunTest);
