Entry: Log which prompts an engine was writing when it crashed

Nothing in the logs distinguishes the hypotheses: engines that crash by themselves, garbled answers, a repeat that carries the crash from engine to engine, or a part that these prompts have in common. The `request` line has neither the parts of the prompt nor whether the engine was still there.

No decision uses this yet.

--- a/Source/Entry/EntryContext.cxx
+++ b/Source/Entry/EntryContext.cxx
@@ -44,6 +44,7 @@
   , mPool(aContext, aClock)
   , mCalls(mPool)
   , mTable(TableBounds(mSettings))
+  , mCrashWatch(*this)
   , mStartedAt(aClock.Now())
 {
 }
--- a/Source/Entry/EntryContext.h
+++ b/Source/Entry/EntryContext.h
@@ -2,6 +2,7 @@
 
 #include "Core/RandomSource.h"
 #include "Entry/CallClient.h"
+#include "Entry/CrashWatch.h"
 #include "Entry/DecisionLog.h"
 #include "Entry/EntryMetrics.h"
 #include "Entry/EntrySettings.h"
@@ -144,6 +145,7 @@
   FleetLoad mLoad;
   TargetHealth mHealth;
   TargetPauses mPauses;
+  CrashWatch mCrashWatch;
   WaitingLine mLine;
   /// Waiting generations by ticket. The function tries to start the generation
   /// and returns whether the ticket may leave the waiting line.
--- a/Source/Entry/PlatformCodec.h
+++ b/Source/Entry/PlatformCodec.h
@@ -30,6 +30,8 @@
   /// Id of the last event that the caller received; empty at the start of a
   /// stream.
   std::string mLastEventId;
+  /// Ids of the parts of the prompt that other requests may share, in order.
+  std::vector<std::string> mPromptParts;
 };
 
 /// \brief Location of the memory (KV cache) of an interrupted run.
--- a/Source/Entry/StreamRun.cxx
+++ b/Source/Entry/StreamRun.cxx
@@ -13,6 +13,9 @@
 constexpr std::size_t kReadBytes = 16384;
 /// A stream with a larger event fails.
 constexpr std::size_t kMaxEventBytes = std::size_t(1) << 20U;
+/// A longer wait for one event says nothing more about the engine: this host
+/// may have been suspended meanwhile.
+constexpr Duration kLongestCountedRead = std::chrono::milliseconds(200);
 /// Unreachable engines after which the request is refused.
 constexpr int kMaxUnreachable = 3;
 /// Destinations that are tried in turn for the memory of one run.
@@ -261,6 +264,9 @@
     ++mRequest->mAttempts;
     mRetryCharged = false;
     auto sent = co_await SendOnce(std::nullopt);
+    if (sent == SendResult::kBroken) {
+      RecordBreak();
+    }
     while (sent == SendResult::kBroken && !mRequest->HasEnded()) {
       auto moved = co_await AwaitMove();
       if (!moved) {
@@ -318,6 +324,17 @@
   co_return result;
 }
 
+void
+StreamRun::RecordBreak()
+{
+  const bool closedHere = mMoving || mRetryCharged || mRequest->HasEnded();
+  if (!closedHere && mWritten < CrashWatch::kSoundAfter) {
+    mContext.mCrashWatch.OnBrokenOff(mEngine,
+                                     mRequest->mCallerHeaders.mId,
+                                     mRequest->mCallerHeaders.mPromptParts);
+  }
+}
+
 bool
 StreamRun::TryNextEngine()
 {
@@ -444,6 +461,8 @@
   auto request = std::make_shared<http::request<http::string_body>>(
     MakeTargetRequest(*mRequest, mContext.mCodec, headers));
   mSentAt = mContext.Now();
+  mWritingSince.reset();
+  mWritten = Duration(0);
   connection->mStream.expires_never();
   WatchProgress(connection,
                 mSentAt + FirstTokenTimeout(mExpectedFirstToken,
@@ -550,6 +569,7 @@
       const auto now = mContext.Now();
       if (first && event->mHasContent) {
         first = false;
+        mWritingSince = now;
         mContext.mLoad.OnPrefillDone(mId);
       }
       // A resumed run may repeat events that the caller already has.
@@ -601,8 +621,12 @@
     aParser->get().body().data = buf.data();
     aParser->get().body().size = buf.size();
     error_code ec;
+    const auto readAt = mContext.Now();
     co_await http::async_read_some(
       aConnection->mStream, aConnection->mBuffer, *aParser, RedirectError(ec));
+    if (mWritingSince && (!ec || ec == http::error::need_buffer)) {
+      mWritten += std::min(mContext.Now() - readAt, kLongestCountedRead);
+    }
     events.Append({ buf.data(), buf.size() - aParser->get().body().size });
     if (ec && ec != http::error::need_buffer) {
       aConnection->Close();
--- a/Source/Entry/StreamRun.h
+++ b/Source/Entry/StreamRun.h
@@ -116,6 +116,8 @@
   Task<bool> CopyTo(Target aTo);
   /// Whether a first copy to aTo would end before this run has to stop.
   bool CopyEndsInTime(const Target& aTo) const;
+  /// The answer of the current engine broke off.
+  void RecordBreak();
   void NotifyFirstCopyDone();
   Task<void> SleepUntil(MonotonicTime aTime);
   /// \brief A run that was stopped and can continue from its memory.
@@ -165,6 +167,10 @@
   /// Longest gap between two events of the current run.
   Duration mLongestGap{ 0 };
   bool mHasEventOfRun = false;
+  /// When the current engine began to write; empty before that.
+  std::optional<MonotonicTime> mWritingSince;
+  /// How long this host has seen the current engine write.
+  Duration mWritten{ 0 };
   /// The retry allowance was charged when the engine was given up.
   bool mRetryCharged = false;
   /// The engine that was given up for its silence.
--- a/Tests/FleetCodec/FleetCodecTest.cxx
+++ b/Tests/FleetCodec/FleetCodecTest.cxx
@@ -490,6 +490,30 @@
     CPPUNIT_ASSERT_EQUAL(std::int64_t(1460), headers.mPromptTokens);
     CPPUNIT_ASSERT_EQUAL(std::int64_t(80), headers.mMaxOutputTokens);
     CPPUNIT_ASSERT_EQUAL(std::int64_t(55), headers.mExpectedOutputTokens);
+    Section("the last part of a prompt belongs to the request alone", [&] {
+      const auto partsOf = [&](const std::string& aText) {
+        fields.set("Prefix-Hash", aText);
+        return codec.ReadCallerHeaders(fields).mPromptParts;
+      };
+      using Parts = std::vector<std::string>;
+      CPPUNIT_ASSERT(headers.mPromptParts.empty());
+      CPPUNIT_ASSERT(partsOf("5c1e:800").empty());
+      CPPUNIT_ASSERT(partsOf("5C1e07a2:800, 91bd:410,e440:250") ==
+                     Parts({ "5c1e07a2", "91bd" }));
+      for (const auto* malformed : { "5c1e,91bd:410",
+                                     "5c1e:800,",
+                                     ":800,91bd:410",
+                                     "5c1e:x,91bd:410",
+                                     "part:800,91bd:410" }) {
+        CPPUNIT_ASSERT(partsOf(malformed).empty());
+      }
+      CPPUNIT_ASSERT(partsOf(std::string(65, 'a') + ":1,91bd:410").empty());
+      std::string many;
+      for (int i = 0; i < 200; ++i) {
+        many += std::to_string(i) + ":1,";
+      }
+      CPPUNIT_ASSERT_EQUAL(std::size_t(32), partsOf(many + "e4:1").size());
+    });
     Section("headers that callers must not set, and their key, are reserved",
             [&] {
               for (const auto* name : { "api-key",
