Serving: Find the part of a prompt that crashes engines

A part of a prompt may crash each engine that begins to write an answer with it (in the usual term, a query of death). No host can tell alone: requests come at any host, each host sees one crash, and each crash also names parts that are sound.

PromptQuarantine adds up what all hosts report. A second send is withheld as soon as an earlier crash of another engine names a part of the request.

All state is a join of what is known (crashes by engine and time, the last answer by part), so lost, late and repeated messages do no harm. A report of a quarantine is adopted only if it holds more crashes, or a longer time, than what is known, so hosts cannot prolong it by telling each other.

The tests play 18 and 295 hosts in virtual time with 3% and 30% of the messages lost, hosts that hear little or join late, a sixth of the engines crashing together, and hostile reports.

--- /dev/null
+++ b/Tests/Serving/PromptQuarantineTest.cxx
@@ -0,0 +1,520 @@
+#include "Serving/PromptQuarantine.h"
+#include "Core/RandomSource.h"
+#include "Support/Section.h"
+
+#include <algorithm>
+#include <cppunit/extensions/HelperMacros.h>
+#include <deque>
+#include <functional>
+#include <limits>
+#include <map>
+#include <memory>
+#include <set>
+
+namespace ragwortdeck {
+
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+using Parts = PromptQuarantine::Parts;
+
+MonotonicTime
+At(int aMs)
+{
+  return MonotonicTime(seconds(1000) + milliseconds(aMs));
+}
+
+/// \brief Hosts and engines in virtual time. Requests with a deadly part crash
+/// their engine as it begins to write.
+class Fleet
+{
+public:
+  static constexpr int kStepMs = 10;
+  /// From a send to the first token, and on to the end of the answer.
+  static constexpr int kPrefillMs = 300;
+  static constexpr int kAnswerMs = 700;
+  static constexpr int kDownMs = 4000;
+
+  Fleet(std::size_t aHosts, std::size_t aEngines, double aLoss)
+    : mEngines(aEngines)
+    , mLoss(aLoss)
+    , mRandom(5)
+  {
+    for (std::size_t i = 0; i < aHosts; ++i) {
+      AddHost();
+    }
+  }
+
+  void AddHost()
+  {
+    const auto index = mHosts.size();
+    mHosts.push_back(std::make_unique<PromptQuarantine>(
+      [this, index](const std::string&) { return index == mOwner; }));
+    mReportedAt.push_back(-10000);
+  }
+
+  /// Sends a request at a random host and engine, unless the host refuses it.
+  bool Send(const Parts& aParts)
+  {
+    return SendAt(mRandom.Below(mHosts.size()), aParts);
+  }
+
+  bool SendAt(std::size_t aHost, const Parts& aParts)
+  {
+    if (mHosts[aHost]->Find(aParts, At(mNow)) ||
+        mHosts[aHost]->FindAtSend(aParts, At(mNow))) {
+      return false;
+    }
+    std::size_t engine = 0;
+    do {
+      engine = mRandom.Below(mEngines.size());
+    } while (mNow < mEngines[engine].mUpAt);
+    const bool deadly =
+      std::any_of(aParts.begin(), aParts.end(), [&](const std::string& aPart) {
+        return mDeadly.contains(aPart);
+      });
+    if (deadly) {
+      mSentDeadlyAt.push_back(mNow);
+    }
+    mEngines[engine].mRuns.push_back({ aHost, aParts, mNow, deadly });
+    return true;
+  }
+
+  void Crash(std::size_t aEngine)
+  {
+    auto& engine = mEngines[aEngine];
+    // Every host names the parts of its own requests whose answers had just
+    // begun.
+    std::map<std::size_t, std::set<std::string>> parts;
+    for (const auto& run : engine.mRuns) {
+      if (mNow - run.mSentAt < kPrefillMs + 300) {
+        parts[run.mHost].insert(run.mParts.begin(), run.mParts.end());
+      }
+    }
+    for (const auto& [host, names] : parts) {
+      mHosts[host]->OnCrash("e" + std::to_string(aEngine),
+                            { names.begin(), names.end() },
+                            At(mNow),
+                            At(mNow));
+    }
+    engine.mRuns.clear();
+    engine.mUpAt = mNow + kDownMs;
+    mCrashedAt.push_back(mNow);
+  }
+
+  /// Passes aMs of time; aEach is called in each step.
+  void Run(
+    int aMs,
+    const std::function<void()>& aEach = [] {})
+  {
+    for (const int until = mNow + aMs; mNow < until; mNow += kStepMs) {
+      aEach();
+      RunEngines();
+      while (!mMessages.empty() && mMessages.front().mDueAt <= mNow) {
+        const auto message = std::move(mMessages.front());
+        mMessages.pop_front();
+        for (std::size_t to = 0; to < mHosts.size(); ++to) {
+          if (to != message.mFrom && !mRandom.Chance(mLoss) &&
+              !mCut.contains({ message.mFrom, to })) {
+            mHosts[to]->Merge(message.mReport, At(mNow));
+          }
+        }
+      }
+      for (std::size_t i = 0; i < mHosts.size(); ++i) {
+        Publish(i);
+      }
+    }
+  }
+
+  PromptQuarantine& Host(std::size_t aIndex) { return *mHosts[aIndex]; }
+  std::size_t Hosts() const { return mHosts.size(); }
+  std::size_t CountBlocking(const std::string& aPart) const
+  {
+    return static_cast<std::size_t>(
+      std::count_if(mHosts.begin(), mHosts.end(), [&](const auto& aHost) {
+        return aHost->Find({ aPart }, At(mNow)).has_value();
+      }));
+  }
+  /// Deadly requests that were sent later than aMs after the fifth crash, or
+  /// the last one.
+  std::size_t DeadlySendsAfter(int aMs) const
+  {
+    const auto from =
+      mCrashedAt[std::min<std::size_t>(5, mCrashedAt.size()) - 1];
+    return static_cast<std::size_t>(
+      std::count_if(mSentDeadlyAt.begin(), mSentDeadlyAt.end(), [&](int aAt) {
+        return aAt > from + aMs;
+      }));
+  }
+  int Now() const { return mNow; }
+  RandomSource& Random() { return mRandom; }
+
+  std::set<std::string> mDeadly;
+  /// Messages from the first host to the second one are lost.
+  std::set<std::pair<std::size_t, std::size_t>> mCut;
+  std::size_t mOwner = 0;
+  std::vector<int> mCrashedAt;
+
+private:
+  struct EngineRun
+  {
+    std::size_t mHost = 0;
+    Parts mParts;
+    int mSentAt = 0;
+    bool mDeadly = false;
+  };
+  struct Engine
+  {
+    std::vector<EngineRun> mRuns;
+    int mUpAt = 0;
+  };
+  struct Message
+  {
+    int mDueAt = 0;
+    std::size_t mFrom = 0;
+    CrashReport mReport;
+  };
+
+  void RunEngines()
+  {
+    for (std::size_t i = 0; i < mEngines.size(); ++i) {
+      auto& runs = mEngines[i].mRuns;
+      if (std::any_of(runs.begin(), runs.end(), [&](const EngineRun& aRun) {
+            return aRun.mDeadly && mNow - aRun.mSentAt >= kPrefillMs;
+          })) {
+        Crash(i);
+        continue;
+      }
+      std::erase_if(runs, [&](const EngineRun& aRun) {
+        if (mNow - aRun.mSentAt < kAnswerMs) {
+          return false;
+        }
+        mHosts[aRun.mHost]->OnSound(
+          aRun.mParts, At(aRun.mSentAt + kPrefillMs), At(mNow));
+        return true;
+      });
+    }
+  }
+
+  void Publish(std::size_t aHost)
+  {
+    auto& host = *mHosts[aHost];
+    if ((mNow / kStepMs + static_cast<int>(aHost)) % 10 == 0) {
+      host.Update(At(mNow));
+    }
+    const bool hasNews = host.HasNews();
+    if (!hasNews && mNow - mReportedAt[aHost] < 500) {
+      return;
+    }
+    const auto report = host.Report(At(mNow));
+    const int interval = !report.mCrashes.empty() || !report.mSound.empty()
+                           ? 500
+                           : 1000 * static_cast<int>(1 + mHosts.size() / 32);
+    if (!report.IsEmpty() &&
+        (hasNews || mNow - mReportedAt[aHost] >= interval)) {
+      mReportedAt[aHost] = mNow;
+      mMessages.push_back({ mNow + 20, aHost, report });
+    }
+    host.ClearNews();
+  }
+
+  std::vector<Engine> mEngines;
+  double mLoss;
+  RandomSource mRandom;
+  std::vector<std::unique_ptr<PromptQuarantine>> mHosts;
+  std::vector<int> mReportedAt;
+  std::deque<Message> mMessages;
+  std::vector<int> mSentDeadlyAt;
+  int mNow = 0;
+};
+
+std::string
+Shared(std::uint64_t aIndex)
+{
+  return "shared" + std::to_string(aIndex);
+}
+
+/// Crashes three engines at aHost, so that it quarantines the part "bad".
+void
+Quarantine(PromptQuarantine& aHost, int aFromMs)
+{
+  for (int i = 0; i < 3; ++i) {
+    const auto at = At(aFromMs + i * 1000);
+    aHost.OnCrash("e" + std::to_string(i), { "bad" }, at, at);
+  }
+  aHost.Update(At(aFromMs + 2000));
+}
+
+} // namespace
+
+/// \brief Tests which parts of prompts a fleet quarantines, and for how long.
+class PromptQuarantineTest : public CppUnit::TestFixture
+{
+  CPPUNIT_TEST_SUITE(PromptQuarantineTest);
+  CPPUNIT_TEST(TestDeadlyPartCrashesEngineAfterEngine);
+  CPPUNIT_TEST(TestHostsThatHearLittle);
+  CPPUNIT_TEST(TestEnginesThatCrashTogether);
+  CPPUNIT_TEST(TestOneCrashIsReportedOften);
+  CPPUNIT_TEST(TestRepeat);
+  CPPUNIT_TEST(TestQuarantineIsTested);
+  CPPUNIT_TEST(TestHostsDoNotProlongAQuarantine);
+  CPPUNIT_TEST(TestHostileReports);
+  CPPUNIT_TEST_SUITE_END();
+
+public:
+  void TestDeadlyPartCrashesEngineAfterEngine()
+  {
+    for (const std::size_t hosts : { std::size_t(18), std::size_t(295) }) {
+      for (const double loss : { 0.03, 0.3 }) {
+        Section(std::to_string(hosts) + " hosts, loss " + std::to_string(loss),
+                [&] {
+                  Fleet fleet(hosts, 40, loss);
+                  fleet.mDeadly = { "bad" };
+                  int soundRefused = 0;
+                  fleet.Run(30000, [&] {
+                    auto& random = fleet.Random();
+                    if (random.Chance(0.02)) {
+                      fleet.Send({ "common", "bad", Shared(random.Below(20)) });
+                    }
+                    if (random.Chance(0.4) &&
+                        !fleet.Send({ "common", Shared(random.Below(20)) })) {
+                      ++soundRefused;
+                    }
+                  });
+                  CPPUNIT_ASSERT(fleet.mCrashedAt.size() >= 3);
+                  CPPUNIT_ASSERT(fleet.DeadlySendsAfter(3000) <= 3);
+                  CPPUNIT_ASSERT_EQUAL(hosts, fleet.CountBlocking("bad"));
+                  CPPUNIT_ASSERT_EQUAL(0, soundRefused);
+                });
+      }
+    }
+  }
+
+  void TestHostsThatHearLittle()
+  {
+    Fleet fleet(18, 40, 0.03);
+    fleet.mDeadly = { "bad" };
+    const auto sendBad = [&] {
+      if (fleet.Random().Chance(0.02)) {
+        fleet.Send({ "common", "bad" });
+      }
+    };
+    // Host 3 hears only host 4, and host 5 is heard by nobody.
+    for (std::size_t i = 0; i < fleet.Hosts(); ++i) {
+      if (i != 4) {
+        fleet.mCut.insert({ i, 3 });
+      }
+      fleet.mCut.insert({ 5, i });
+    }
+    fleet.Run(12000, sendBad);
+    Section("a host that one other host reaches learns what all know", [&] {
+      CPPUNIT_ASSERT(fleet.Host(3).Find({ "bad" }, At(fleet.Now())));
+    });
+    Section("a host that nobody hears learns it as well", [&] {
+      CPPUNIT_ASSERT(fleet.Host(5).Find({ "bad" }, At(fleet.Now())));
+    });
+    Section("a host that starts later learns it within a second or two", [&] {
+      fleet.AddHost();
+      fleet.Run(2000);
+      CPPUNIT_ASSERT_EQUAL(fleet.Hosts(), fleet.CountBlocking("bad"));
+    });
+  }
+
+  void TestEnginesThatCrashTogether()
+  {
+    for (const std::size_t hosts : { std::size_t(18), std::size_t(295) }) {
+      Section(
+        std::to_string(hosts) + " hosts lose a sixth of the engines, "
+                                "three times",
+        [&] {
+          Fleet fleet(hosts, 48, 0.03);
+          int refused = 0;
+          const auto send = [&] {
+            if (!fleet.Send({ "hot", Shared(fleet.Random().Below(20)) })) {
+              ++refused;
+            }
+          };
+          for (std::size_t i = 0; i < 3; ++i) {
+            fleet.Run(2000, send);
+            for (std::size_t engine = 0; engine < 8; ++engine) {
+              fleet.Crash(i * 8 + engine);
+            }
+          }
+          fleet.Run(5000, send);
+          CPPUNIT_ASSERT_EQUAL(0, refused);
+          CPPUNIT_ASSERT_EQUAL(std::size_t(0), fleet.CountBlocking("hot"));
+        });
+    }
+    Section("eight engines lose power under requests with a part that nobody "
+            "uses soon again",
+            [&] {
+              PromptQuarantine host([](const std::string&) { return false; });
+              for (int i = 0; i < 8; ++i) {
+                const auto at = At(25 * i);
+                host.OnCrash("e" + std::to_string(i), { "cold" }, at, at);
+              }
+              host.Update(At(5000));
+              CPPUNIT_ASSERT(!host.Find({ "cold" }, At(5000)));
+            });
+    Section("a sixth crashes one after the other, and the part is in use", [&] {
+      Fleet fleet(18, 48, 0.3);
+      int refused = 0;
+      const auto send = [&] {
+        if (fleet.Random().Chance(0.2) && !fleet.Send({ "warm" })) {
+          ++refused;
+        }
+      };
+      fleet.Run(2000, send);
+      for (std::size_t engine = 0; engine < 8; ++engine) {
+        fleet.Crash(engine);
+        fleet.Run(400, send);
+      }
+      fleet.Run(5000, send);
+      CPPUNIT_ASSERT_EQUAL(0, refused);
+    });
+  }
+
+  void TestOneCrashIsReportedOften()
+  {
+    PromptQuarantine host([](const std::string&) { return false; });
+    for (int i = 0; i < 8; ++i) {
+      CrashReport report;
+      report.mCrashes = { { "e1", 500 * i, { "p" } } };
+      host.Merge(report, At(500 * i));
+      report.mCrashes.front().mAgeMs += 30;
+      host.Merge(report, At(500 * i));
+    }
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), host.CountCrashes("p"));
+    Section("the same engine crashes again after a restart", [&] {
+      CrashReport report;
+      report.mCrashes = { { "e1", 0, { "p" } } };
+      host.Merge(report, At(9000));
+      CPPUNIT_ASSERT_EQUAL(std::size_t(2), host.CountCrashes("p"));
+    });
+    Section("an answer that began before a crash says nothing of it", [&] {
+      host.OnSound({ "p" }, At(8000), At(9500));
+      CPPUNIT_ASSERT_EQUAL(std::size_t(1), host.CountCrashes("p"));
+    });
+    Section("an answer that began after it starts the count anew", [&] {
+      host.OnSound({ "p" }, At(9100), At(9600));
+      CPPUNIT_ASSERT_EQUAL(std::size_t(0), host.CountCrashes("p"));
+    });
+    Section("crashes are forgotten", [&] {
+      host.OnCrash("e2", { "p" }, At(10000), At(10000));
+      host.Update(At(131000));
+      CPPUNIT_ASSERT_EQUAL(std::size_t(0), host.CountCrashes("p"));
+    });
+  }
+
+  void TestRepeat()
+  {
+    PromptQuarantine host([](const std::string&) { return false; });
+    const Parts parts{ "common", "bad" };
+    Section("at first sight nothing is known against the request", [&] {
+      host.OnCrash("e1", parts, At(0), At(0));
+      CPPUNIT_ASSERT(!host.FindSuspect(parts, "e1", At(0)));
+    });
+    Section("engines that crash together do not suspect the requests on them",
+            [&] { CPPUNIT_ASSERT(!host.FindSuspect(parts, "e2", At(100))); });
+    Section("its engine is the second one that crashes with the part",
+            [&] { CPPUNIT_ASSERT(host.FindSuspect(parts, "e2", At(1000))); });
+    Section("an answer clears only the parts it has", [&] {
+      host.OnSound({ "common" }, At(500), At(900));
+      CPPUNIT_ASSERT(!host.FindSuspect({ "common" }, "e2", At(1000)));
+      CPPUNIT_ASSERT(host.FindSuspect(parts, "e2", At(1000)) == "bad");
+    });
+  }
+
+  void TestQuarantineIsTested()
+  {
+    Fleet fleet(6, 10, 0.03);
+    fleet.mDeadly = { "bad" };
+    int sent = 0;
+    const auto send = [&] {
+      if (fleet.Random().Chance(0.03) && fleet.Send({ "bad" })) {
+        ++sent;
+      }
+    };
+    fleet.Run(8000, send);
+    const int last = fleet.mCrashedAt.back();
+    sent = 0;
+    Section("no request passes for a minute", [&] {
+      fleet.Run(last + 59000 - fleet.Now(), send);
+      CPPUNIT_ASSERT_EQUAL(0, sent);
+    });
+    Section("then one does, and its crash holds the part for two minutes", [&] {
+      fleet.Run(100000, send);
+      CPPUNIT_ASSERT_EQUAL(1, sent);
+    });
+    Section("an answer ends the quarantine on all hosts", [&] {
+      fleet.mDeadly.clear();
+      fleet.Run(40000, send);
+      CPPUNIT_ASSERT_EQUAL(std::size_t(0), fleet.CountBlocking("bad"));
+      CPPUNIT_ASSERT(sent > 10);
+    });
+  }
+
+  void TestHostsDoNotProlongAQuarantine()
+  {
+    // Each host hears of the quarantine again and again, also after its end.
+    Fleet fleet(2, 2, 0);
+    fleet.mOwner = 0;
+    Quarantine(fleet.Host(0), 0);
+    fleet.Run(61000);
+    const auto block = fleet.Host(1).Find({ "bad" }, At(fleet.Now()));
+    CPPUNIT_ASSERT(block->mRetryAfter > seconds(0));
+    fleet.Run(2500);
+    CPPUNIT_ASSERT(!fleet.Host(0).Find({ "bad" }, At(fleet.Now())));
+    fleet.Run(
+      static_cast<int>(std::chrono::duration_cast<milliseconds>(
+                         PromptQuarantine::kForgetQuarantine + seconds(5))
+                         .count()));
+    CPPUNIT_ASSERT_EQUAL(std::size_t(0), fleet.CountBlocking("bad"));
+  }
+
+  void TestHostileReports()
+  {
+    PromptQuarantine host([](const std::string&) { return false; });
+    CrashReport report;
+    const std::string longName(PromptQuarantine::kMaxNameBytes + 1, 'a');
+    const std::int64_t huge = std::numeric_limits<std::int64_t>::max();
+    Section("names that are too long, or empty", [&] {
+      report.mCrashes = { { "e1", 0, { longName, "" } },
+                          { longName, 0, { "p" } } };
+      report.mSound = { { longName, 0 } };
+      report.mQuarantined = { { longName, 0, 1000, 1000, 3 } };
+      host.Merge(report, At(0));
+      CPPUNIT_ASSERT(host.Report(At(0)).IsEmpty());
+      CPPUNIT_ASSERT_EQUAL(std::size_t(0), host.CountCrashes("p"));
+      CPPUNIT_ASSERT_EQUAL(std::size_t(0), host.CountCrashes(longName));
+    });
+    Section("numbers out of range", [&] {
+      report.mCrashes = { { "e1", -huge, { "p" } }, { "e2", huge, { "p" } } };
+      report.mSound = { { "q", -huge }, { "q", huge } };
+      report.mQuarantined = { { "r", -huge, huge, huge, huge } };
+      host.Merge(report, At(0));
+      CPPUNIT_ASSERT_EQUAL(std::size_t(1), host.CountCrashes("p"));
+      CPPUNIT_ASSERT(host.Find({ "r" }, At(0))->mRetryAfter <=
+                     PromptQuarantine::kLongestHold);
+    });
+    Section("more parts than are kept", [&] {
+      for (int i = 0; i < 10000; ++i) {
+        const auto name = "n" + std::to_string(i);
+        host.OnSound({ name }, At(i), At(i));
+        host.OnCrash("e" + name, { name, "x" + name }, At(i), At(i));
+        CrashReport next;
+        next.mQuarantined = { { name, 0, 5000, 5000, 3 } };
+        host.Merge(next, At(i));
+      }
+      const auto sent = host.Report(At(10000));
+      CPPUNIT_ASSERT(sent.mCrashes.size() <= 8);
+      CPPUNIT_ASSERT(sent.mQuarantined.size() <= 64);
+      CPPUNIT_ASSERT(host.Update(At(10000)).size() <= 10300);
+    });
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(PromptQuarantineTest);
+
+} // namespace ragwortdeck
