Entry: Keep requests that crash engines from the next ones

What callers saw: requests of one kind crash one engine after the other, and the streams of others on these engines break off.

Cause: each host sees one crash and treats it as the engine's fault; no message told of it, and nothing was kept by what a request contains. Ruled out: repeats alone (the long requests are sent once), and garbled answers (those engines accept a connection afterwards).

Hosts now tell each other of crashes with the shared parts of the requests that had just begun there, at once and again for 4 s, and of answers that clear a part. The message gets one field at its end; messages without it are read as before. A request with a quarantined part is refused with a true 503 before any send, also while it waits for an engine; one whose engine has not begun to write is taken back. A request whose engine crashed is not sent to a second one if an earlier crash names one of its parts.

A stream counts as written by the time that this host waited for its events, in steps of at most 0.2 s, so neither a slow caller nor a suspended host makes a crashed answer look sound.

--- a/Source/Entry/CrashWatch.h
+++ b/Source/Entry/CrashWatch.h
@@ -1,8 +1,10 @@
 #pragma once
 
 #include "Entry/Asio.h"
+#include "Serving/PromptQuarantine.h"
 #include "Serving/TargetList.h"
 
+#include <functional>
 #include <map>
 #include <set>
 #include <string>
@@ -11,25 +13,48 @@
 namespace ragwortdeck {
 
 struct EntryContext;
+struct FinalAnswer;
 
 /// \brief Finds out whether an engine crashed when its answer broke off as it
-/// began.
+/// began, tells the other hosts, and refuses requests that would crash more
+/// engines (PromptQuarantine).
 class CrashWatch
 {
 public:
   /// An answer that was written for this long has not crashed its engine.
   static constexpr Duration kSoundAfter = std::chrono::milliseconds(300);
 
-  explicit CrashWatch(EntryContext& aContext)
-    : mContext(aContext)
-  {
-  }
+  using Parts = PromptQuarantine::Parts;
+  using Block = PromptQuarantine::Block;
+
+  explicit CrashWatch(EntryContext& aContext);
 
+  /// Applies decisions and sends reports, for the life of the process.
+  Task<void> Loop();
   /// The answer to the request aRequest, whose prompt has the shared parts
   /// aParts, broke off before aEngine had written it for kSoundAfter.
   void OnBrokenOff(const Target& aEngine,
                    const std::string& aRequest,
-                   const std::vector<std::string>& aParts);
+                   const Parts& aParts);
+  /// An engine began to write an answer at aBegan, and completed it or went on
+  /// for kSoundAfter.
+  void OnSound(const Parts& aParts, MonotonicTime aBegan);
+  /// Adds the report of another host.
+  void Merge(const CrashReport& aReport);
+  /// The quarantined part that keeps a request from all engines.
+  std::optional<Block> Find(const Parts& aParts);
+  /// As Find(), for a request that is sent at once otherwise.
+  std::optional<Block> FindAtSend(const Parts& aParts);
+  /// Whether a request whose answer from aEngine has just broken off as it
+  /// began may be sent to another engine.
+  bool MayRepeat(const Parts& aParts, const std::string& aEngine);
+  /// Refuses a request that was not sent.
+  FinalAnswer Refuse(const std::string& aRequest, const Block& aBlock);
+
+  /// Sends a report to all hosts; the second argument is true if it has news.
+  std::function<void(const CrashReport&, bool)> mOnReport;
+  /// Whether this host tests a part; it tests all if there is no such hook.
+  PromptQuarantine::IsOwner mIsOwner;
 
 private:
   /// \brief Answers of one engine that broke off, until it is known whether the
@@ -43,10 +68,17 @@
   /// An engine that accepts a connection has not crashed.
   Task<void> Probe(Target aEngine);
   void OnCrash(const std::string& aEngine, const Suspicion& aSuspicion);
+  /// Applies what the quarantine decided.
+  void Update();
+  /// Sends a report if one is due.
+  void Publish();
 
   EntryContext& mContext;
+  PromptQuarantine mQuarantine;
   /// By engine.
   std::map<std::string, Suspicion> mSuspicions;
+  MonotonicTime mReportedAt;
+  MonotonicTime mRefusalLoggedAt;
 };
 
 } // namespace ragwortdeck
--- a/Source/Entry/HostMessage.h
+++ b/Source/Entry/HostMessage.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "Serving/ContentParts.h"
+#include "Serving/CrashReport.h"
 #include "Serving/DeparturePlan.h"
 #include "Serving/FleetLoad.h"
 #include "Serving/TargetListChange.h"
@@ -114,6 +115,8 @@
   /// The starts (Target::mBorn) of the targets of mReportedLeaving, as far as
   /// they are known.
   std::map<std::string, std::int64_t> mLeavingBorn;
+  /// What the sender knows of crashes of engines.
+  CrashReport mCrashReport;
 
   MSGPACK_DEFINE_ARRAY(mHost,
                        mIncarnation,
@@ -146,7 +149,8 @@
                        mAcceptsMerged,
                        mMerged,
                        mAllCopied,
-                       mLeavingBorn)
+                       mLeavingBorn,
+                       mCrashReport)
 };
 
 } // namespace ragwortdeck
--- a/Source/Entry/PlainRelay.cxx
+++ b/Source/Entry/PlainRelay.cxx
@@ -135,6 +135,10 @@
     return MakeLocalAnswer(timedOut ? kStatusTimeout : kStatusBadGateway,
                            mRequest.mReason);
   }
+  if (mBlock) {
+    mRequest.mReason = "prompt part " + mBlock->mPart + " is quarantined";
+    return mContext.mCrashWatch.Refuse(mRequest.mCallerHeaders.mId, *mBlock);
+  }
   if (mRequest.mReason.empty()) {
     mRequest.mReason = mContext.PauseOf(mRequest.mService)
                          ? "all servers paused"
@@ -149,6 +153,7 @@
 PlainRelay::Run()
 {
   const auto& route = *mRequest.mRoute;
+  const auto& parts = mRequest.mCallerHeaders.mPromptParts;
   auto race = mRace;
   mRequest.mOnEnd = [race] { race->mSignal.cancel(); };
   mContext.CountRequest(mRequest.mService);
@@ -156,7 +161,8 @@
   while (!mRequest.HasEnded()) {
     if (start) {
       start = false;
-      const auto target = ChooseTarget();
+      mBlock = mContext.mCrashWatch.FindAtSend(parts);
+      const auto target = mBlock ? std::nullopt : ChooseTarget();
       if (target) {
         StartExchange(*target);
       } else if (race->mRunning == 0) {
@@ -202,7 +208,10 @@
       start = true;
       continue;
     }
-    if (!maySend || !mContext.TryRetry(mRequest.mService)) {
+    if (!maySend ||
+        (outcome.mKind == Kind::kBroken &&
+         !mContext.mCrashWatch.MayRepeat(parts, outcome.mTarget)) ||
+        !mContext.TryRetry(mRequest.mService)) {
       break;
     }
     mContext.mMetrics.Count("entry_retries_total");
--- a/Source/Entry/PlainRelay.h
+++ b/Source/Entry/PlainRelay.h
@@ -46,6 +46,8 @@
   /// Number of outcomes of mRace that were recorded.
   std::size_t mRecorded = 0;
   int mUnreachable = 0;
+  /// The quarantined part that ends the request.
+  std::optional<CrashWatch::Block> mBlock;
   bool mMayHaveRun = false;
   std::optional<http::response<http::string_body>> mLastAnswer;
 };
--- a/Source/Entry/SiteFeed.cxx
+++ b/Source/Entry/SiteFeed.cxx
@@ -137,6 +137,19 @@
     aMessage.mRequestsTable = !mContext.mTable.Table();
     aMessage.mRequestsList = !mContext.mTargets.IsKnown();
   };
+  mContext.mCrashWatch.mOnReport = [this](const CrashReport& aReport,
+                                          bool aHasNews) {
+    mExchange.Broadcast(
+      [&](HostMessage& aMessage) { aMessage.mCrashReport = aReport; },
+      HostExchange::Content::kState,
+      aHasNews ? MessageClass::kImportant : MessageClass::kRoutine);
+  };
+  mContext.mCrashWatch.mIsOwner = [this](const std::string& aPart) {
+    return SharedReads::IsOwner(
+      mContext.mSettings.mPeers.mAddress, mExchange.LiveHosts(), aPart);
+  };
+  mContext.SpawnLoop("crash_loop",
+                     [this] { return mContext.mCrashWatch.Loop(); });
   mContext.SpawnLoop("receive_loop",
                      [this] { return mExchange.ReceiveLoop(); });
   mContext.SpawnLoop("table_loop", [this] { return TableLoop(); });
@@ -806,6 +819,7 @@
   for (const auto& engine : aMessage.mSilentEngines) {
     AvoidSilentEngine(engine, aMessage.mHost);
   }
+  mContext.mCrashWatch.Merge(aMessage.mCrashReport);
   if (!aMessage.mTable.empty() &&
       aMessage.mTableRevision > mContext.mTable.Revision()) {
     ApplyTable(Uncompress(aMessage.mTable), aMessage.mTableRevision);
--- a/Source/Entry/StreamRun.cxx
+++ b/Source/Entry/StreamRun.cxx
@@ -252,10 +252,18 @@
   bool mayHaveRun = false;
   bool wasFull = false;
   bool returns = false;
+  const auto& parts = mRequest->mCallerHeaders.mPromptParts;
   while (!mRequest->HasEnded()) {
+    mBlock = mContext.mCrashWatch.Find(parts);
+    if (mBlock) {
+      break;
+    }
     const bool placed =
       !std::exchange(returns, false) && co_await WaitForEngine();
-    if (!placed && !ReturnToSilentEngine()) {
+    if (!placed) {
+      mBlock = mContext.mCrashWatch.Find(parts);
+    }
+    if (!placed && (mBlock || !ReturnToSilentEngine())) {
       break;
     }
     if (mRequest->HasEnded()) {
@@ -264,9 +272,7 @@
     ++mRequest->mAttempts;
     mRetryCharged = false;
     auto sent = co_await SendOnce(std::nullopt);
-    if (sent == SendResult::kBroken) {
-      RecordBreak();
-    }
+    const bool mayRepeat = sent != SendResult::kBroken || MayRepeatAfterBreak();
     while (sent == SendResult::kBroken && !mRequest->HasEnded()) {
       auto moved = co_await AwaitMove();
       if (!moved) {
@@ -290,13 +296,16 @@
     mExcluded.insert(mEngine.mId);
     if (sent == SendResult::kNotSent) {
       --mRequest->mAttempts;
-      if (++unreachable >= kMaxUnreachable) {
+      if (mBlock || ++unreachable >= kMaxUnreachable) {
         break;
       }
       continue;
     }
     mayHaveRun = mayHaveRun || sent == SendResult::kBroken;
     wasFull = wasFull || sent == SendResult::kNotRun;
+    if (!mayRepeat) {
+      break;
+    }
     if (!mRetryCharged && !TryNextEngine()) {
       // The refusal ran nothing, and the engine that fell silent may be sound.
       returns = sent == SendResult::kNotRun && !mSilentEngine.empty() &&
@@ -310,7 +319,11 @@
   if (mCaller.HasBegun()) {
     co_return result;
   }
-  if (!mayHaveRun && !mRequest->HasEnded()) {
+  if (mBlock && !mayHaveRun && !mRequest->HasEnded()) {
+    mRequest->mReason = "prompt part " + mBlock->mPart + " is quarantined";
+    result.mAnswer =
+      mContext.mCrashWatch.Refuse(mRequest->mCallerHeaders.mId, *mBlock);
+  } else if (!mayHaveRun && !mRequest->HasEnded()) {
     const char* reason = wasFull ? "engine full" : "no engine has room";
     result.mAnswer = RefuseRequest(
       mContext.PauseOf(mRequest->mService) ? "all engines paused" : reason);
@@ -324,15 +337,47 @@
   co_return result;
 }
 
-void
-StreamRun::RecordBreak()
+bool
+StreamRun::MayRepeatAfterBreak()
 {
+  if (mBlock) {
+    return false;
+  }
   const bool closedHere = mMoving || mRetryCharged || mRequest->HasEnded();
-  if (!closedHere && mWritten < CrashWatch::kSoundAfter) {
-    mContext.mCrashWatch.OnBrokenOff(mEngine,
-                                     mRequest->mCallerHeaders.mId,
-                                     mRequest->mCallerHeaders.mPromptParts);
+  if (closedHere || mWriteTime >= CrashWatch::kSoundAfter) {
+    return true;
   }
+  const auto& headers = mRequest->mCallerHeaders;
+  mContext.mCrashWatch.OnBrokenOff(mEngine, headers.mId, headers.mPromptParts);
+  mBlock = mContext.mCrashWatch.Find(headers.mPromptParts);
+  return !mBlock &&
+         mContext.mCrashWatch.MayRepeat(headers.mPromptParts, mEngine.mId);
+}
+
+void
+StreamRun::RecordSound()
+{
+  if (mWritingSince && !std::exchange(mSoundRecorded, true)) {
+    mContext.mCrashWatch.OnSound(mRequest->mCallerHeaders.mPromptParts,
+                                 *mWritingSince);
+  }
+}
+
+void
+StreamRun::OnQuarantine()
+{
+  if (mRequest->HasEnded() || mMoving || mEvents > 0 || mWritingSince) {
+    return;
+  }
+  auto block = mContext.mCrashWatch.Find(mRequest->mCallerHeaders.mPromptParts);
+  if (!block) {
+    return;
+  }
+  mBlock = std::move(block);
+  if (mConnection) {
+    mConnection->Close();
+  }
+  mSignal.cancel();
 }
 
 bool
@@ -453,6 +498,14 @@
     mRequest->mReason = engine.mId + ": wants no requests";
     co_return SendResult::kNotSent;
   }
+  if (!aMemory) {
+    mBlock =
+      mContext.mCrashWatch.FindAtSend(mRequest->mCallerHeaders.mPromptParts);
+    if (mBlock) {
+      mContext.mPool.Release(std::move(connection), 0);
+      co_return SendResult::kNotSent;
+    }
+  }
   mConnection = connection;
   auto headers =
     MakeTargetRequestHeaders(*mRequest, engine.mId, mContext.Now());
@@ -462,7 +515,8 @@
     MakeTargetRequest(*mRequest, mContext.mCodec, headers));
   mSentAt = mContext.Now();
   mWritingSince.reset();
-  mWritten = Duration(0);
+  mWriteTime = Duration(0);
+  mSoundRecorded = false;
   connection->mStream.expires_never();
   WatchProgress(connection,
                 mSentAt + FirstTokenTimeout(mExpectedFirstToken,
@@ -625,7 +679,10 @@
     co_await http::async_read_some(
       aConnection->mStream, aConnection->mBuffer, *aParser, RedirectError(ec));
     if (mWritingSince && (!ec || ec == http::error::need_buffer)) {
-      mWritten += std::min(mContext.Now() - readAt, kLongestCountedRead);
+      mWriteTime += std::min(mContext.Now() - readAt, kLongestCountedRead);
+      if (mWriteTime >= CrashWatch::kSoundAfter) {
+        RecordSound();
+      }
     }
     events.Append({ buf.data(), buf.size() - aParser->get().body().size });
     if (ec && ec != http::error::need_buffer) {
@@ -660,6 +717,7 @@
     aConnection->Close();
     co_return SendResult::kBroken;
   }
+  RecordSound();
   mContext.mHealth.Succeeded(mEngine.mId, mFirstEventAt - mSentAt);
   mConnection.reset();
   mContext.mPool.ReleaseOrClose(aConnection, *aParser, *mWritten);
--- a/Source/Entry/StreamRun.h
+++ b/Source/Entry/StreamRun.h
@@ -53,6 +53,9 @@
   };
   /// Starts to move the run; has no effect while a move is in progress.
   void StartMove(MovePlan aPlan);
+  /// Parts of prompts were quarantined: ends the run if it has one of them and
+  /// its engine has written nothing yet.
+  void OnQuarantine();
   const std::string& Engine() const { return mEngine.mId; }
   const std::string& RequestId() const { return mRequest->mCallerHeaders.mId; }
   /// The stream that relays events now; empty before the first event and during
@@ -116,8 +119,11 @@
   Task<bool> CopyTo(Target aTo);
   /// Whether a first copy to aTo would end before this run has to stop.
   bool CopyEndsInTime(const Target& aTo) const;
-  /// The answer of the current engine broke off.
-  void RecordBreak();
+  /// The answer of the current engine broke off. Returns whether the request
+  /// may be sent to another one.
+  bool MayRepeatAfterBreak();
+  /// Records that the prompt does not crash engines.
+  void RecordSound();
   void NotifyFirstCopyDone();
   Task<void> SleepUntil(MonotonicTime aTime);
   /// \brief A run that was stopped and can continue from its memory.
@@ -170,7 +176,10 @@
   /// When the current engine began to write; empty before that.
   std::optional<MonotonicTime> mWritingSince;
   /// How long this host has seen the current engine write.
-  Duration mWritten{ 0 };
+  Duration mWriteTime{ 0 };
+  bool mSoundRecorded = false;
+  /// The quarantined part that ends the run.
+  std::optional<CrashWatch::Block> mBlock;
   /// The retry allowance was charged when the engine was given up.
   bool mRetryCharged = false;
   /// The engine that was given up for its silence.
--- a/Source/Entry/TargetExchange.cxx
+++ b/Source/Entry/TargetExchange.cxx
@@ -200,6 +200,9 @@
   if (ec) {
     outcome.mReason = ec.message();
     mContext.mHealth.Failed(aTarget.mId, now);
+    mContext.mCrashWatch.OnBrokenOff(aTarget,
+                                     mRequest.mCallerHeaders.mId,
+                                     mRequest.mCallerHeaders.mPromptParts);
     connection->Close();
     co_return outcome;
   }
@@ -238,6 +241,7 @@
   }
   if (success) {
     mContext.mHealth.Succeeded(aTarget.mId, now - began);
+    mContext.mCrashWatch.OnSound(mRequest.mCallerHeaders.mPromptParts, began);
   }
   outcome.mKind = TargetOutcome::Kind::kAnswered;
   outcome.mResponse = MakeForwardedAnswer(header, std::move(body));
--- a/Tests/Entry/HostExchangeTest.cxx
+++ b/Tests/Entry/HostExchangeTest.cxx
@@ -135,6 +135,7 @@
   CPPUNIT_TEST(TestBroadcast);
   CPPUNIT_TEST(TestMixedVersions);
   CPPUNIT_TEST(TestMergedMessages);
+  CPPUNIT_TEST(TestMessagesOfOtherVersions);
   CPPUNIT_TEST(TestMalformedMergedMessages);
   CPPUNIT_TEST(TestForeignDatagrams);
   CPPUNIT_TEST_SUITE_END();
@@ -256,6 +257,30 @@
     });
   }
 
+  void TestMessagesOfOtherVersions()
+  {
+    HostMessage message;
+    message.mHost = "h";
+    message.mAllCopied = true;
+    message.mCrashReport.mSound = { { "part", 5 } };
+    const auto bytes = Pack(message);
+    const auto unpackWithout = [&](std::uint32_t aLast) {
+      const auto handle = UnpackBounded(bytes.data(), bytes.size());
+      auto object = handle.get();
+      object.via.array.size -= aLast;
+      HostMessage read;
+      object.convert(read);
+      return read;
+    };
+    Section("a message of a version without reports of crashes", [&] {
+      CPPUNIT_ASSERT(unpackWithout(1).mCrashReport.IsEmpty());
+      CPPUNIT_ASSERT(unpackWithout(1).mAllCopied);
+    });
+    Section("a message of this version", [&] {
+      CPPUNIT_ASSERT(unpackWithout(0).mCrashReport == message.mCrashReport);
+    });
+  }
+
   void TestMalformedMergedMessages()
   {
     Fleet fleet({ "a", "a", "a" });
--- a/Tests/Entry/RelayWorld.cxx
+++ b/Tests/Entry/RelayWorld.cxx
@@ -60,6 +60,14 @@
   asio::co_spawn(mContext, Accept(), asio::detached);
 }
 
+void
+ScriptedTarget::ListenAgain()
+{
+  mAcceptor =
+    tcp::acceptor(mContext, { asio::ip::address_v4::loopback(), mPort });
+  asio::co_spawn(mContext, Accept(), asio::detached);
+}
+
 Target
 ScriptedTarget::Describe(const std::string& aService) const
 {
@@ -213,6 +221,8 @@
     list.mTargets.emplace(target.mId, target);
   }
   mEntry->mTargets.Apply(list, mEntry->Now());
+  mEntry->SpawnLoop("crash_loop",
+                    [this] { return mEntry->mCrashWatch.Loop(); });
 }
 
 std::shared_ptr<tcp::socket>
--- a/Tests/Entry/RelayWorld.h
+++ b/Tests/Entry/RelayWorld.h
@@ -20,13 +20,12 @@
 
   Target Describe(const std::string& aService) const;
   void AddScript(Script aScript) { mScripts.push_back(std::move(aScript)); }
-  /// Connections are refused from now on.
-  void StopListening() { mAcceptor.close(); }
   const std::vector<std::string>& Requests() const { return mRequests; }
   /// The host closed a connection that the last script kept open.
   bool PeerClosed() const { return mPeerClosed; }
-  /// Refuses connections from now on.
+  /// Refuses connections until ListenAgain().
   void StopListening() { mAcceptor.close(); }
+  void ListenAgain();
   /// Leaves what arrives after a request's end in small socket buffers; called
   /// before the first connection.
   void ReadLittle();
