Serving: Tell apart the parts that come with a deadly one

A request is now refused for a part only if it has all quarantined parts that every crash with that part had as well. One that lacks some of them is sent: its answer clears the parts it has, and its crash those it lacks.

TestSoundPartsThatComeWithADeadlyOne fails without the change: no request with the sound part is sent. TestHostsThatHearLittle asks for the requests that were sent, which have both parts; with one alone they are not settled there.

--- a/Source/Serving/PromptQuarantine.cxx
+++ b/Source/Serving/PromptQuarantine.cxx
@@ -397,8 +397,44 @@
   if (mQuarantined.empty()) {
     return std::nullopt;
   }
+  // Whether all crashes with aPart had aOther as well.
+  const auto isCompanion = [&](const std::string& aPart,
+                               const std::string& aOther) {
+    const auto crashes = mSuspects.find(aPart);
+    const auto others = mSuspects.find(aOther);
+    const auto counted = crashes == mSuspects.end()
+                           ? std::vector<Crash>()
+                           : Counted(aPart, crashes->second);
+    if (counted.empty() || others == mSuspects.end()) {
+      // This host knows only what the others reported of the parts.
+      const auto& held = mQuarantined.at(aPart);
+      const auto& other = mQuarantined.at(aOther);
+      return held.mCrashes == other.mCrashes &&
+             std::chrono::abs(held.mFirstAt - other.mFirstAt) < kTogether;
+    }
+    return std::all_of(
+      counted.begin(), counted.end(), [&](const Crash& aCrash) {
+        return std::any_of(others->second.begin(),
+                           others->second.end(),
+                           [&](const Crash& aItem) {
+                             return aItem.mEngine == aCrash.mEngine &&
+                                    std::chrono::abs(aItem.mAt - aCrash.mAt) <
+                                      kSameCrash;
+                           });
+      });
+  };
+  // A request without one of the parts that always came together may be sound:
+  // its answer clears the parts that it has, and its crash those that it lacks.
+  const auto hasCompanions = [&](const std::string& aPart) {
+    return std::all_of(
+      mQuarantined.begin(), mQuarantined.end(), [&](const auto& aItem) {
+        return std::find(aParts.begin(), aParts.end(), aItem.first) !=
+                 aParts.end() ||
+               !isCompanion(aPart, aItem.first);
+      });
+  };
   for (const auto& part : aParts) {
-    if (auto block = BlockOf(part, aNow)) {
+    if (auto block = BlockOf(part, aNow); block && hasCompanions(part)) {
       return block;
     }
   }
