--- a/Tests/Entry/TargetNoticeTest.cxx
+++ b/Tests/Entry/TargetNoticeTest.cxx
@@ -11,7 +11,7 @@
 const std::string kLeaving = "Server-Leaving: 1\r\n";
 
 ScriptedTarget::Script
-Send(const std::string& aBytes)
+ScriptOf(const std::string& aBytes)
 {
   return [aBytes](tcp::socket& aSocket, const std::string&) {
     WriteAll(aSocket, aBytes);
@@ -100,7 +100,7 @@
       WriteAll(aSocket, StreamHead("id1") + Event(1));
       return true;
     });
-    mSource.AddScript(Send("HTTP/1.1 200 OK\r\n" + aHeaders + reply));
+    mSource.AddScript(ScriptOf("HTTP/1.1 200 OK\r\n" + aHeaders + reply));
     mSource.AddScript(
       [this, reply, aOnStop](tcp::socket& aSocket, const std::string&) {
         aOnStop(Context());
@@ -159,10 +159,10 @@
   void TestAnswerSaysLeaving()
   {
     Section("a target that says so in an answer gets no more requests", [&] {
-      TwoTargets world({ Send(AnswerWith("200 OK", "id1", kLeaving)),
-                         Send(RelayWorld::Answer("id2", "t1")) });
-      world.mSecond.AddScript(Send(RelayWorld::Answer("id2", "t2")));
-      world.mSecond.AddScript(Send(RelayWorld::Answer("id3", "t2")));
+      TwoTargets world({ ScriptOf(AnswerWith("200 OK", "id1", kLeaving)),
+                         ScriptOf(RelayWorld::Answer("id2", "t1")) });
+      world.mSecond.AddScript(ScriptOf(RelayWorld::Answer("id2", "t2")));
+      world.mSecond.AddScript(ScriptOf(RelayWorld::Answer("id3", "t2")));
       CPPUNIT_ASSERT(world.Ask("unsafe", "id1").starts_with("HTTP/1.1 200 OK"));
       world.Ask("unsafe", "id2");
       CPPUNIT_ASSERT_EQUAL(std::size_t(1), world.mSecond.Requests().size());
@@ -174,7 +174,7 @@
       });
     });
     Section("the other hosts are told once, with its start", [&] {
-      TwoTargets world({ Send(AnswerWith("200 OK", "id1", kLeaving)) });
+      TwoTargets world({ ScriptOf(AnswerWith("200 OK", "id1", kLeaving)) });
       std::vector<Target> told;
       world.Context().mOnSaidLeaving = [&](const Target& aTarget) {
         told.push_back(aTarget);
@@ -187,7 +187,7 @@
       CPPUNIT_ASSERT_EQUAL(std::int64_t(1000), told[0].mBorn);
     });
     Section("a target that started again under its id is used", [&] {
-      TwoTargets world({ Send(AnswerWith("200 OK", "id1", kLeaving)) });
+      TwoTargets world({ ScriptOf(AnswerWith("200 OK", "id1", kLeaving)) });
       world.ReadList(2, 1000);
       world.Ask("unsafe", "id1");
       world.ReadList(3, 2000);
@@ -196,25 +196,25 @@
     for (const auto* status :
          { "500 Oops", "404 Not Found", "503 Busy\r\nNot-Executed: 1" }) {
       Section(std::string("in a failure: ") + status, [&] {
-        TwoTargets world({ Send(AnswerWith(status, "id1", kLeaving)) });
+        TwoTargets world({ ScriptOf(AnswerWith(status, "id1", kLeaving)) });
         world.Ask("unsafe", "id1");
         CPPUNIT_ASSERT(world.IsLeaving("t1"));
       });
     }
     Section("in the header of a stream that still runs", [&] {
-      TwoTargets world({ Send("HTTP/1.1 200 OK\r\nAttempt-Id: id1\r\n"
-                              "Response-Seal: seal\r\n" +
-                              kLeaving +
-                              "Content-Type: text/event-stream\r\n"
-                              "Transfer-Encoding: chunked\r\n\r\n" +
-                              RelayWorld::Event(1)) });
+      TwoTargets world({ ScriptOf("HTTP/1.1 200 OK\r\nAttempt-Id: id1\r\n"
+                                  "Response-Seal: seal\r\n" +
+                                  kLeaving +
+                                  "Content-Type: text/event-stream\r\n"
+                                  "Transfer-Encoding: chunked\r\n\r\n" +
+                                  RelayWorld::Event(1)) });
       const auto caller = world.Call(RelayWorld::Request("long", "id1"));
       world.Reply(*caller, "id: 1\n");
       CPPUNIT_ASSERT(world.IsLeaving("t1"));
     });
     for (const auto* value : { "0", "true", "", "11", "1, 1" }) {
       Section(std::string("another value says nothing: ") + value, [&] {
-        TwoTargets world({ Send(
+        TwoTargets world({ ScriptOf(
           AnswerWith("200 OK",
                      "id1",
                      std::string("Server-Leaving: ") + value + "\r\n")) });
@@ -227,13 +227,13 @@
   void TestNoticeOfAnother()
   {
     Section("the late answer to another request is the same target's", [&] {
-      TwoTargets world({ Send(AnswerWith("200 OK", "id0", kLeaving) +
-                              RelayWorld::Answer("id1", "body")) });
+      TwoTargets world({ ScriptOf(AnswerWith("200 OK", "id0", kLeaving) +
+                                  RelayWorld::Answer("id1", "body")) });
       CPPUNIT_ASSERT(world.Ask("unsafe", "id1").starts_with("HTTP/1.1 200 OK"));
       CPPUNIT_ASSERT(world.IsLeaving("t1"));
     });
     Section("a target that took over the address does not speak for it", [&] {
-      TwoTargets world({ Send(AnswerWith("421 Other", "id1", kLeaving)) });
+      TwoTargets world({ ScriptOf(AnswerWith("421 Other", "id1", kLeaving)) });
       world.Ask("unsafe", "id1");
       CPPUNIT_ASSERT(!world.IsLeaving("t1"));
     });
@@ -245,8 +245,8 @@
     // arrived while the connection was being opened.
     for (const auto* kind : { "unsafe", "long" }) {
       Section(kind, [&] {
-        TwoTargets world({ Send(RelayWorld::Answer("id1", "t1")) });
-        world.mSecond.AddScript(Send(AnswerWith("500 Oops", "id1", "")));
+        TwoTargets world({ ScriptOf(RelayWorld::Answer("id1", "t1")) });
+        world.mSecond.AddScript(ScriptOf(AnswerWith("500 Oops", "id1", "")));
         const auto caller = world.Call(RelayWorld::Request(kind, "id1"));
         world.RunUntil([&] { return world.Context().mInFlight["t1"] > 0; });
         world.Context().mTargets.MarkLeaving("t1", 0, world.Context().Now());
@@ -265,8 +265,8 @@
         wasHeeded = aContext.mTargets.Find("t1")->mLeaving;
         aContext.mTargets.MarkLeaving("t2", 0, aContext.Now());
       });
-      world.mDestination.AddScript(Send(RelayWorld::StreamHead("id1") +
-                                        RelayWorld::Event(2) + "0\r\n\r\n"));
+      world.mDestination.AddScript(ScriptOf(
+        RelayWorld::StreamHead("id1") + RelayWorld::Event(2) + "0\r\n\r\n"));
       CPPUNIT_ASSERT(Contains(world.Move(), "id: 2\n"));
       CPPUNIT_ASSERT(wasHeeded);
     });
@@ -293,10 +293,10 @@
       Section(
         std::string("a target that wants nothing for a minute ") + extra, [&] {
           TwoTargets world(
-            { Send(AnswerWith(
+            { ScriptOf(AnswerWith(
                 "503 Busy", "id1", std::string("Retry-After: 60\r\n") + extra)),
-              Send(RelayWorld::Answer("id2", "t1")) });
-          world.mSecond.AddScript(Send(RelayWorld::Answer("id2", "t2")));
+              ScriptOf(RelayWorld::Answer("id2", "t1")) });
+          world.mSecond.AddScript(ScriptOf(RelayWorld::Answer("id2", "t2")));
           world.Ask("unsafe", "id1");
           world.Ask("unsafe", "id2");
           CPPUNIT_ASSERT_EQUAL(std::size_t(1), world.mFirst.Requests().size());
@@ -304,11 +304,11 @@
         });
     }
     Section("after the time it is used again", [&] {
-      TwoTargets world({ Send(AnswerWith("503 Busy",
-                                         "id1",
-                                         "Retry-After: 0.05\r\n"
-                                         "Not-Executed: 1\r\n")),
-                         Send(RelayWorld::Answer("id2", "t1")) });
+      TwoTargets world({ ScriptOf(AnswerWith("503 Busy",
+                                             "id1",
+                                             "Retry-After: 0.05\r\n"
+                                             "Not-Executed: 1\r\n")),
+                         ScriptOf(RelayWorld::Answer("id2", "t1")) });
       world.Ask("unsafe", "id1");
       world.RunUntil(
         [&] { return world.Context().OpenTargets("s").size() == 2; });
@@ -318,7 +318,7 @@
     Section("a success, or another status, starts no pause", [&] {
       for (const auto* status : { "200 OK", "500 Oops", "429 Slow" }) {
         TwoTargets world(
-          { Send(AnswerWith(status, "id1", "Retry-After: 60\r\n")) });
+          { ScriptOf(AnswerWith(status, "id1", "Retry-After: 60\r\n")) });
         world.Ask("unsafe", "id1");
         CPPUNIT_ASSERT_EQUAL(std::size_t(2),
                              world.Context().OpenTargets("s").size());
@@ -326,7 +326,7 @@
     });
     Section("a request whose connection is being opened goes elsewhere", [&] {
       TwoTargets world({});
-      world.mSecond.AddScript(Send(RelayWorld::Answer("id1", "t2")));
+      world.mSecond.AddScript(ScriptOf(RelayWorld::Answer("id1", "t2")));
       const auto caller = world.Call(RelayWorld::Request("unsafe", "id1"));
       world.RunUntil([&] { return world.Context().mInFlight["t1"] > 0; });
       world.Context().RecordAnswer(world.Context().mTargets.Find("t1")->mTarget,
@@ -338,8 +338,8 @@
     });
     Section("it is no destination of a move", [&] {
       MovedStream world([](EntryContext&) {});
-      world.mOther.AddScript(Send(RelayWorld::StreamHead("id1") +
-                                  RelayWorld::Event(2) + "0\r\n\r\n"));
+      world.mOther.AddScript(ScriptOf(RelayWorld::StreamHead("id1") +
+                                      RelayWorld::Event(2) + "0\r\n\r\n"));
       Target paused;
       paused.mId = "t2";
       paused.mService = "s";
@@ -355,7 +355,7 @@
     for (const auto* kind : { "safe", "unsafe", "short", "long" }) {
       Section(kind, [&] {
         const auto refuse = [](const std::string& aSeconds) {
-          return Send(
+          return ScriptOf(
             AnswerWith("503 Busy",
                        "id1",
                        "Not-Executed: 1\r\nRetry-After: " + aSeconds + "\r\n"));
@@ -391,7 +391,7 @@
     world.mEngine = EngineLimits{ 1, 100000, 1, 1000, 1, true };
     auto& engine = world.AddTarget("t1");
     engine.AddScript(
-      Send(RelayWorld::StreamHead("id1") + RelayWorld::Event(1)));
+      ScriptOf(RelayWorld::StreamHead("id1") + RelayWorld::Event(1)));
     world.Start();
     const auto first = world.Call(RelayWorld::Request("long", "id1"));
     world.Reply(*first, "id: 1\n");
