Entry: Judge each engine's stream by its own move only

Found by the review of the change for unmarked streams. A resumable stream was to be moved, the call for its last copy got no usable reply, and the engine closed the stream. The next engine took it over and finished it, unmarked, but the note that the run may have been stopped still stood: the caller's stream ended without its last chunk.

The note is now cleared before a request is sent to an engine. UnmarkedAnswersTest::TestNextEngineAfterFailedMove failed before and passes.

--- a/Source/Entry/StreamRun.cxx
+++ b/Source/Entry/StreamRun.cxx
@@ -271,6 +271,7 @@
     }
     ++mRequest->mAttempts;
     mRetryCharged = false;
+    mMayBeStopped = false;
     auto sent = co_await SendOnce(std::nullopt);
     const bool mayRepeat = sent != SendResult::kBroken || MayRepeatAfterBreak();
     while (sent == SendResult::kBroken && !mRequest->HasEnded()) {
--- a/Tests/Entry/UnmarkedAnswersTest.cxx
+++ b/Tests/Entry/UnmarkedAnswersTest.cxx
@@ -50,6 +50,7 @@
   CPPUNIT_TEST(TestWholeStreamIsNotCutOff);
   CPPUNIT_TEST(TestBrokenStreamIsNotComplete);
   CPPUNIT_TEST(TestStreamThatIsMoved);
+  CPPUNIT_TEST(TestNextEngineAfterFailedMove);
   CPPUNIT_TEST(TestPlainAnswer);
   CPPUNIT_TEST_SUITE_END();
 
@@ -193,6 +194,49 @@
     });
   }
 
+  void TestNextEngineAfterFailedMove()
+  {
+    // Guards against a whole stream that is taken for one that was stopped.
+    RelayWorld world;
+    world.mEngine = EngineLimits{ 8, 100000, 1, 1000, 1, true };
+    auto& leaving = world.AddTarget("t1");
+    auto& next = world.AddTarget("t2");
+    tcp::socket* stream = nullptr;
+    leaving.AddScript([&](tcp::socket& aSocket, const std::string&) {
+      stream = &aSocket;
+      WriteAll(aSocket, kUnmarkedHead + PlainEvent(1));
+      return true;
+    });
+    leaving.AddScript([&](tcp::socket& aSocket, const std::string&) {
+      WriteAll(aSocket, MakeReply("200 OK", "{}"));
+      return true;
+    });
+    leaving.AddScript([&](tcp::socket& aSocket, const std::string&) {
+      stream->close();
+      aSocket.close();
+      return false;
+    });
+    next.AddScript(SendAndEnd(kUnmarkedHead + PlainEvent(2) + PlainEvent(3)));
+    world.Start();
+    world.Context().mHealth.Unreachable("t2", world.Context().Now());
+    const auto caller = world.Call(RelayWorld::Request("short", "id1"));
+    auto reply = world.Reply(*caller, "id: 1\n");
+    world.Context().mHealth.Succeeded("t2", Milliseconds(1));
+    const auto now = world.Context().Now();
+    StreamRun::MovePlan plan;
+    plan.mDestination = "t2";
+    plan.mFirstCopyAt = now;
+    plan.mLatestStop = now + std::chrono::seconds(30);
+    plan.mMayStop = [] { return true; };
+    world.Context().mStreams.begin()->second->StartMove(std::move(plan));
+    reply += world.Reply(*caller, kEndOfStream);
+    Section("the engine that takes the stream over completes it", [&] {
+      CPPUNIT_ASSERT(Contains(reply, "id: 3\n"));
+      CPPUNIT_ASSERT(reply.ends_with(kEndOfStream));
+      CPPUNIT_ASSERT_EQUAL(std::size_t(1), next.Requests().size());
+    });
+  }
+
   void TestPlainAnswer()
   {
     const auto relayed = [](bool aReset) {
