Filters: Do not deny a run at a planned stop of the router

At the end of a planned stop, a request that waited for a second engine was refused as "not run", though the first engine had got it and had then broken the connection: whether it had been sent was taken from the ticket of the current attempt, which is given back before the next engine is asked for. A caller who trusts the verdict makes the engine run the work again.

The verdict now comes from the relay, which keeps it across attempts.

Test: RouterOperationTest::TestStopDeniesARun failed before in its second section (not-run instead of may-have-run) and passes; its first section, a request that no engine has had, is still refused as not run.

--- a/Source/Filters/RelaySession.cxx
+++ b/Source/Filters/RelaySession.cxx
@@ -453,11 +453,11 @@
     return;
   }
   Record(EventType::kRequestFinished, "shutting_down");
-  const bool wasSent = mIsDispatched;
   mRelay.OnCallerGone();
   auto verdict =
     Refusal(kStatusUnavailable, "shutting_down", "This host is shutting down.");
-  verdict.mState = wasSent ? RunState::kMayHaveRun : RunState::kNotRun;
+  verdict.mState =
+    mRelay.MayHaveRun() ? RunState::kMayHaveRun : RunState::kNotRun;
   exchange.Refuse(verdict, Headers());
 }
 
--- a/Source/Filters/StreamRelay.h
+++ b/Source/Filters/StreamRelay.h
@@ -116,6 +116,8 @@
   bool IsEnded() const { return mPhase == Phase::kEnded; }
   /// True once the answer is bound to its generation.
   bool IsBound() const { return mIsBound; }
+  /// False only if no engine can have run the request.
+  bool MayHaveRun() const { return mMayHaveRun; }
   const Attempt& Current() const { return mAttempt; }
   std::uint32_t Resumes() const { return mTotalResumes; }
   std::uint32_t Duplicates() const { return mDuplicates; }
--- a/Tests/Filters/RouterOperationTest.cxx
+++ b/Tests/Filters/RouterOperationTest.cxx
@@ -5,6 +5,7 @@
 #include <QSslSocket>
 #include <QTemporaryDir>
 #include <algorithm>
+#include <atomic>
 
 namespace ragwortdeck {
 
@@ -24,6 +25,58 @@
   return sum;
 }
 
+/// \brief Sends the first request to engine-1 and keeps all others waiting.
+class HoldingDispatcher : public Dispatcher
+{
+public:
+  Ticket Submit(const RequestTraits& aTraits,
+                DispatchCallback aCallback) override
+  {
+    static_cast<void>(aTraits);
+    if (++mSubmitted == 1) {
+      aCallback(TargetId("engine-1"));
+    }
+    return mSubmitted;
+  }
+  void OnTokens(Ticket, std::uint32_t) override {}
+  void OnFinished(Ticket, DispatchOutcome) override {}
+  void Cancel(Ticket) override {}
+  void OnView(std::shared_ptr<const SiteView>) override {}
+  void OnLoadReport(const TargetId&, const LoadReport&) override {}
+  void Tick() override {}
+
+  std::atomic<Ticket> mSubmitted = 0;
+};
+
+constexpr const char* kLongWhole =
+  R"({"model":"drafts","input":"a","output_tokens":100000})";
+
+/// Stops aRouter without a drain as soon as aIsDue.
+std::unique_ptr<QTimer>
+StopWhen(Router& aRouter, std::function<bool()> aIsDue)
+{
+  auto timer = std::make_unique<QTimer>();
+  QObject::connect(
+    timer.get(), &QTimer::timeout, [&aRouter, aIsDue, raw = timer.get()] {
+      if (aIsDue()) {
+        raw->stop();
+        aRouter.Shutdown(nullptr);
+        aRouter.Shutdown(nullptr);
+      }
+    });
+  timer->start(1);
+  return timer;
+}
+
+void
+AssertStopped(const Answer& aAnswer, const std::string& aState)
+{
+  CPPUNIT_ASSERT(aAnswer.mEnd.mKind == TransferEndKind::kReplied);
+  CPPUNIT_ASSERT_EQUAL(503, aAnswer.mEnd.mStatus);
+  CPPUNIT_ASSERT_EQUAL(std::string("shutting_down"), aAnswer.Code());
+  CPPUNIT_ASSERT_EQUAL(aState, aAnswer.State());
+}
+
 } // namespace
 
 /// \brief What operators of a router rely on: events, metrics, TLS, a bounded
@@ -34,6 +87,7 @@
   CPPUNIT_TEST(TestEventsOfARequest);
   CPPUNIT_TEST(TestMetrics);
   CPPUNIT_TEST(TestShutdownDeadline);
+  CPPUNIT_TEST(TestStopDeniesARun);
   CPPUNIT_TEST(TestTls);
   CPPUNIT_TEST(TestHedgedLookUp);
   CPPUNIT_TEST_SUITE_END();
@@ -118,6 +172,37 @@
     CPPUNIT_ASSERT(run.Report().IsClean());
   }
 
+  /// Guards against a stop that says "not run" of a request that waits for a
+  /// second engine.
+  void TestStopDeniesARun()
+  {
+    RouterSite site;
+    site.mEngine.SetFaults([](const Generation&, std::int64_t, std::uint32_t) {
+      return StreamFault::kDrop;
+    });
+    const auto stop = [&](Ticket aSubmitted) {
+      auto holding = std::make_unique<HoldingDispatcher>();
+      auto& dispatcher = *holding;
+      if (aSubmitted == 1) {
+        // The request waits for its first engine.
+        dispatcher.mSubmitted = 1;
+      }
+      const auto router = std::move(
+        Router::Start(site.Settings(), std::move(holding), nullptr).value());
+      const auto timer =
+        StopWhen(*router, [&] { return dispatcher.mSubmitted == 2; });
+      return site.Post(*router, "/v1/responses", kLongWhole);
+    };
+    Section("no engine has had the request",
+            [&] { AssertStopped(stop(1), "not-run"); });
+    Section("the first engine broke the connection before its first event",
+            [&] {
+              AssertStopped(stop(0), "may-have-run");
+              CPPUNIT_ASSERT_EQUAL(std::uint64_t(1),
+                                   site.mEngine.Model().CreatedCount());
+            });
+  }
+
   /// Guards against TLS that is set and not used.
   void TestTls()
   {
