Filters: Answer a request to which a planned stop has sent nothing

A caller who waits for a whole answer got neither an answer nor a refusal when the router's stop cut it off after the engine's first token: the request was bound to its generation, which the stop took for "the answer has begun", but only a stream sends anything before the end. The same held for a stream that is read again and has got no event yet.

The stop now closes without a word only if a stream has begun towards the caller. Otherwise it answers 503 shutting_down with may-have-run, since an engine has the request. The generation of a whole answer is cancelled, as the caller has no id of it; that of a stream read again is left alone.

--- a/Source/Filters/RelaySession.cxx
+++ b/Source/Filters/RelaySession.cxx
@@ -445,7 +445,7 @@
   }
   auto& exchange = *mContext.mExchange;
   exchange.SetOnGone(nullptr);
-  if (mRelay.IsBound()) {
+  if (exchange.IsStreaming()) {
     Record(EventType::kRequestFinished, "cut_off");
     CloseStream();
     FinishTicket(DispatchOutcome::kCancelled);
@@ -453,7 +453,12 @@
     return;
   }
   Record(EventType::kRequestFinished, "shutting_down");
-  mRelay.OnCallerGone();
+  if (mContext.mRoute == Route::kReadResponse) {
+    // The caller has the id and can read the generation on another host.
+    CloseStream();
+  } else {
+    mRelay.OnCallerGone();
+  }
   auto verdict =
     Refusal(kStatusUnavailable, "shutting_down", "This host is shutting down.");
   verdict.mState =
--- a/Tests/Filters/RouterOperationTest.cxx
+++ b/Tests/Filters/RouterOperationTest.cxx
@@ -88,6 +88,8 @@
   CPPUNIT_TEST(TestMetrics);
   CPPUNIT_TEST(TestShutdownDeadline);
   CPPUNIT_TEST(TestStopDeniesARun);
+  CPPUNIT_TEST(TestStopWithoutWholeAnswer);
+  CPPUNIT_TEST(TestStopBeforeAReadBegins);
   CPPUNIT_TEST(TestTls);
   CPPUNIT_TEST(TestHedgedLookUp);
   CPPUNIT_TEST_SUITE_END();
@@ -203,6 +205,43 @@
             });
   }
 
+  /// Guards against a stop that closes on a caller who waits for a whole
+  /// answer.
+  void TestStopWithoutWholeAnswer()
+  {
+    RouterSite site;
+    const auto router = site.MakeRouter();
+    const auto timer = StopWhen(*router, [&] {
+      return MetricOf(*router, "ragwort_first_token_seconds_count") == 1;
+    });
+    AssertStopped(site.Post(*router, "/v1/responses", kLongWhole),
+                  "may-have-run");
+    RunEventLoopUntil(
+      [&] { return site.mEngine.Model().CancelledCount() == 1; });
+  }
+
+  /// Guards against a stop that closes on a caller who reads a stream again and
+  /// has got no event, or that cancels what the caller can read elsewhere.
+  void TestStopBeforeAReadBegins()
+  {
+    RouterSite site;
+    const auto router = site.MakeRouter();
+    const auto whole =
+      site.Post(*router,
+                "/v1/responses",
+                R"({"model":"drafts","input":"a","output_tokens":5})");
+    const auto id = whole.Json()["id"].toString().toStdString();
+    RunEventLoopUntil([&] { return router->OpenStreams() == 0; });
+    site.mEngine.SetFaults([](const Generation&, std::int64_t, std::uint32_t) {
+      return StreamFault::kStall;
+    });
+    const auto timer =
+      StopWhen(*router, [&] { return router->OpenStreams() == 1; });
+    AssertStopped(site.Get(*router, "/v1/responses/" + id + "?stream=true"),
+                  "may-have-run");
+    CPPUNIT_ASSERT_EQUAL(0.0, MetricOf(*router, "ragwort_cancels_total"));
+  }
+
   /// Guards against TLS that is set and not used.
   void TestTls()
   {
