Entry: Let the answer of a rejected caller arrive

A caller whose request was rejected before it was read whole (400, 413, 431, or 503 with too many bodies in memory) could lose the answer: the connection was closed with unread bytes, for which the kernel sends a reset.

After such an answer the sending side is shut down, and what still arrives is read and dropped for at most 2 s and 16 MiB beyond the largest permitted body. This no longer counts as reading a request, so a planned stop does not wait for it. The time is checked in the loop as well, since the timeout of the stream did not end reads that complete at once.

--- a/Source/Entry/CallerSession.cxx
+++ b/Source/Entry/CallerSession.cxx
@@ -16,6 +16,10 @@
 /// Timeout for reading the body after the header.
 constexpr Milliseconds kBodyTimeout{ 20000 };
 constexpr std::chrono::seconds kAnswerTimeout{ 8 };
+/// How long a rejected caller may go on sending before it is cut off, and how
+/// much beyond the largest permitted body.
+constexpr std::chrono::seconds kLinger{ 2 };
+constexpr std::size_t kMaxLingerBytes = std::size_t(16) << 20U;
 /// Limit of the total size of request bodies in memory.
 constexpr std::size_t kMaxBufferedBytes = std::size_t(24) << 20U;
 /// Bytes of the next request that are read while one is served.
@@ -47,6 +51,24 @@
          aError != http::error::partial_message;
 }
 
+/// Reads what a rejected caller still sends, up to aLimit bytes, because
+/// closing with unread bytes would destroy the answer in flight.
+Task<void>
+Linger(beast::tcp_stream& aStream, std::size_t aLimit)
+{
+  std::vector<char> buf(kMaxReadAheadBytes);
+  error_code ec;
+  aStream.socket().shutdown(tcp::socket::shutdown_send, ec);
+  // The timeout of the stream does not end reads that complete at once.
+  const auto end = std::chrono::steady_clock::now() + kLinger;
+  aStream.expires_at(end);
+  for (std::size_t total = 0;
+       !ec && total < aLimit && std::chrono::steady_clock::now() < end;) {
+    total +=
+      co_await aStream.async_read_some(asio::buffer(buf), RedirectError(ec));
+  }
+}
+
 /// \brief Registers a request that is being served, for its lifetime.
 class ActiveRequest
 {
@@ -90,6 +112,12 @@
   while (true) {
     auto request = std::make_shared<CallerRequest>();
     if (!co_await ReadRequest(*request)) {
+      if (request->mAnswerBegun) {
+        // A stop does not wait for this, as ReadRequest() has returned.
+        co_await Linger(mStream,
+                        static_cast<std::size_t>(Limits().mBodyBytes) +
+                          kMaxLingerBytes);
+      }
       break;
     }
     const ActiveRequest active(mContext, *request);
@@ -166,17 +194,20 @@
   }
   if (ec) {
     if (IsHttpError(ec)) {
+      aRequest.mAnswerBegun = true;
       co_await Reject(RejectionStatus(ec), ec.message());
     }
     co_return false;
   }
   aRequest.mArrived = mContext.Now();
   if (IsAmbiguous(parser.get())) {
+    aRequest.mAnswerBegun = true;
     co_await Reject(kStatusBadRequest, "ambiguous request");
     co_return false;
   }
   if (mContext.mBufferedBytes > kMaxBufferedBytes) {
     mContext.mMetrics.Count("entry_shed_bodies_total");
+    aRequest.mAnswerBegun = true;
     co_await Reject(kStatusUnavailable, "too many bodies in memory");
     co_return false;
   }
@@ -191,6 +222,7 @@
   co_await http::async_read(mStream, mBuffer, parser, RedirectError(ec));
   if (ec) {
     if (IsHttpError(ec)) {
+      aRequest.mAnswerBegun = true;
       co_await Reject(RejectionStatus(ec), ec.message());
     }
     co_return false;
--- a/Tests/Entry/FieldFailuresTest.cxx
+++ b/Tests/Entry/FieldFailuresTest.cxx
@@ -5,6 +5,7 @@
 #include "Support/Section.h"
 
 #include <algorithm>
+#include <boost/asio/read.hpp>
 #include <cppunit/extensions/HelperMacros.h>
 
 namespace ragwortdeck {
@@ -91,6 +92,53 @@
   }
 };
 
+/// \brief A caller that sends a request in one piece while it reads the answer.
+class SendingCaller
+{
+public:
+  SendingCaller(RelayWorld& aWorld, std::string aBytes)
+    : mWorld(aWorld)
+    , mSocket(aWorld.Call(""))
+    , mState(std::make_shared<State>())
+  {
+    mState->mBytes = std::move(aBytes);
+    asio::async_write(*mSocket,
+                      asio::buffer(mState->mBytes),
+                      [state = mState](const error_code& aError, std::size_t) {
+                        state->mSent = aError;
+                      });
+    asio::async_read(*mSocket,
+                     asio::dynamic_buffer(mState->mAnswer),
+                     [state = mState](const error_code& aError, std::size_t) {
+                       state->mRead = aError;
+                     });
+  }
+  /// Waits until all is sent and the answer has ended.
+  void Finish()
+  {
+    mWorld.RunUntil([&] { return mState->mSent && mState->mRead; });
+  }
+  /// Both ended without an error.
+  bool IsClean() const
+  {
+    return !*mState->mSent && *mState->mRead == asio::error::eof;
+  }
+  const std::string& Answer() const { return mState->mAnswer; }
+
+private:
+  struct State
+  {
+    std::string mBytes;
+    std::string mAnswer;
+    std::optional<error_code> mSent;
+    std::optional<error_code> mRead;
+  };
+
+  RelayWorld& mWorld;
+  std::shared_ptr<tcp::socket> mSocket;
+  std::shared_ptr<State> mState;
+};
+
 /// \brief Replays failures that operators of similar systems have reported; see
 /// docs/field-failures.md.
 class FieldFailuresTest : public CppUnit::TestFixture
@@ -110,6 +158,7 @@
   CPPUNIT_TEST(TestEndlessBodies);
   CPPUNIT_TEST(TestRequestsAtTheEndOfTheGrace);
   CPPUNIT_TEST(TestRequestsReadDuringAStop);
+  CPPUNIT_TEST(TestRejectedWhileSending);
   CPPUNIT_TEST(TestUnexpectedErrors);
   CPPUNIT_TEST_SUITE_END();
 
@@ -807,6 +856,64 @@
             });
   }
 
+  void TestRejectedWhileSending()
+  {
+    RelayWorld world;
+    world.Start();
+    const auto request = [](std::size_t aBytes) {
+      return RelayWorld::Request("unsafe",
+                                 "id1",
+                                 "Content-Length: " + std::to_string(aBytes) +
+                                   "\r\n") +
+             std::string(aBytes, 'x');
+    };
+    constexpr std::size_t kMegabyte = std::size_t(1) << 20U;
+    const auto expect = [&](const std::string& aBytes,
+                            const std::string& aStatus,
+                            const std::string& aText) {
+      SendingCaller caller(world, aBytes);
+      caller.Finish();
+      CPPUNIT_ASSERT(caller.Answer().starts_with("HTTP/1.1 " + aStatus));
+      CPPUNIT_ASSERT(Contains(caller.Answer(), aText));
+      CPPUNIT_ASSERT(caller.IsClean());
+    };
+    Section("a body that is too large",
+            [&] { expect(request(8 * kMegabyte), "413", "body"); });
+    Section("a header that is too large", [&] {
+      expect(RelayWorld::Request(
+               "safe", "id1", "X: " + std::string(kMegabyte, 'x') + "\r\n"),
+             "431",
+             "header");
+    });
+    Section("bytes that are no request", [&] {
+      expect("no request\r\n\r\n" + std::string(kMegabyte, 'x'), "400", "bad");
+    });
+    Section("too many bodies in memory", [&] {
+      world.Context().mBufferedBytes += 25 * kMegabyte;
+      expect(request(4 * kMegabyte), "503", "too many bodies in memory");
+      world.Context().mBufferedBytes -= 25 * kMegabyte;
+    });
+    Section("a caller that goes on sending does not hold up a stop", [&] {
+      const auto caller = world.Call(request(8 * kMegabyte).substr(0, 4096));
+      CPPUNIT_ASSERT(
+        world.Reply(*caller, "\r\n\r\n").starts_with("HTTP/1.1 413"));
+      world.RunUntil([&] { return !world.Context().HasWork(); });
+      WriteAll(*caller, "more");
+      Section("and is cut off after a while", [&] {
+        error_code ec;
+        world.RunUntil([&] {
+          caller->write_some(asio::buffer("x", 1), ec);
+          return ec.failed();
+        });
+      });
+    });
+    Section("or after a number of bytes", [&] {
+      SendingCaller caller(world, request(64 * kMegabyte));
+      caller.Finish();
+      CPPUNIT_ASSERT(!caller.IsClean());
+    });
+  }
+
   void TestUnexpectedErrors()
   {
     RelayWorld world(std::make_unique<ThrowingCodec>());
