Entry: Ask the engine whether an unmarked answer ended by a crash

What callers saw: an engine that crashes between events of a stream without chunks or length, or inside a plain answer without a length, ends its connection as a complete answer does. The answer counted as sound, which cleared the deadly part on all hosts and released a quarantine in force.

Change: such an end proves soundness only after kSoundAfter of writing. Before that the engine is probed: if it accepts a connection the parts are sound as of the beginning of the answer, otherwise it counts as a crash. What the caller gets does not change, nor what entry_broken_answers_total counts.

Test: TestCrashThatLooksLikeTheEndOfAnUnmarkedAnswer.

--- a/Source/Entry/CrashWatch.cxx
+++ b/Source/Entry/CrashWatch.cxx
@@ -17,6 +17,8 @@
 /// parts; more hosts take turns.
 constexpr milliseconds kQuarantineInterval{ 1000 };
 constexpr std::size_t kTellers = 32;
+/// Unmarked answers of one engine that are kept for one probe.
+constexpr std::size_t kMaxUnmarked = 64;
 /// Shortest time between two log lines on refused requests; each has its own
 /// line as well, when it ends.
 constexpr milliseconds kRefusalLogInterval{ 100 };
@@ -47,16 +49,26 @@
 }
 
 void
-CrashWatch::OnBrokenOff(const Target& aEngine,
-                        const std::string& aRequest,
-                        const Parts& aParts)
+CrashWatch::Suspect(const Target& aEngine,
+                    const std::string& aRequest,
+                    const Parts& aParts,
+                    std::optional<MonotonicTime> aUnmarkedSince)
 {
   const auto* entry = mContext.mTargets.Find(aEngine.mId);
   if (aParts.empty() || !entry || entry->mLeaving) {
     return;
   }
-  const auto [it, isNew] = mSuspicions.try_emplace(
-    aEngine.mId, Suspicion{ mContext.Now(), aRequest, {} });
+  const auto [it, isNew] = mSuspicions.try_emplace(aEngine.mId);
+  if (isNew) {
+    it->second.mAt = mContext.Now();
+    it->second.mRequest = aRequest;
+  }
+  auto& suspicion = it->second;
+  if (!aUnmarkedSince) {
+    suspicion.mBrokenOff = true;
+  } else if (suspicion.mUnmarked.size() < kMaxUnmarked) {
+    suspicion.mUnmarked.push_back({ aParts, *aUnmarkedSince });
+  }
   for (const auto& part : aParts) {
     if (it->second.mParts.size() < PromptQuarantine::kMaxPartsOfCrash) {
       it->second.mParts.insert(part);
@@ -67,17 +79,43 @@
   }
 }
 
+void
+CrashWatch::OnBrokenOff(const Target& aEngine,
+                        const std::string& aRequest,
+                        const Parts& aParts)
+{
+  Suspect(aEngine, aRequest, aParts, std::nullopt);
+}
+
+void
+CrashWatch::OnUnmarkedEnd(const Target& aEngine,
+                          const std::string& aRequest,
+                          const Parts& aParts,
+                          MonotonicTime aBegan)
+{
+  Suspect(aEngine, aRequest, aParts, aBegan);
+}
+
 Task<void>
 CrashWatch::Probe(Target aEngine)
 {
   auto connection =
     co_await mContext.mPool.Acquire(aEngine.mEndpoint, true, {});
-  const auto suspicion = mSuspicions.extract(aEngine.mId);
-  if (connection) {
-    mContext.mPool.Release(std::move(connection), 0);
+  const auto found = mSuspicions.extract(aEngine.mId);
+  if (!found) {
+    co_return;
+  }
+  const auto& suspicion = found.mapped();
+  if (!connection) {
+    OnCrash(aEngine.mId, suspicion);
+    co_return;
+  }
+  mContext.mPool.Release(std::move(connection), 0);
+  if (suspicion.mBrokenOff) {
     mContext.mMetrics.Count("entry_broken_answers_total");
-  } else if (suspicion) {
-    OnCrash(aEngine.mId, suspicion.mapped());
+  }
+  for (const auto& answer : suspicion.mUnmarked) {
+    OnSound(answer.mParts, answer.mBegan);
   }
 }
 
--- a/Source/Entry/CrashWatch.h
+++ b/Source/Entry/CrashWatch.h
@@ -36,8 +36,14 @@
   void OnBrokenOff(const Target& aEngine,
                    const std::string& aRequest,
                    const Parts& aParts);
-  /// An engine began to write an answer at aBegan, and completed it or went on
-  /// for kSoundAfter.
+  /// The answer ended before kSoundAfter without a mark of its end, which a
+  /// crash looks like. The engine began to write it at aBegan.
+  void OnUnmarkedEnd(const Target& aEngine,
+                     const std::string& aRequest,
+                     const Parts& aParts,
+                     MonotonicTime aBegan);
+  /// An engine began to write an answer at aBegan, and completed it with a mark
+  /// of its end or went on for kSoundAfter.
   void OnSound(const Parts& aParts, MonotonicTime aBegan);
   /// Adds the report of another host.
   void Merge(const CrashReport& aReport);
@@ -57,14 +63,27 @@
   PromptQuarantine::IsOwner mIsOwner;
 
 private:
-  /// \brief Answers of one engine that broke off, until it is known whether the
-  /// engine crashed.
+  /// \brief An answer that ended without a mark of its end.
+  struct UnmarkedAnswer
+  {
+    Parts mParts;
+    MonotonicTime mBegan;
+  };
+  /// \brief Answers of one engine that broke off or may have, until it is known
+  /// whether the engine crashed.
   struct Suspicion
   {
     MonotonicTime mAt;
     std::string mRequest;
     std::set<std::string> mParts;
+    bool mBrokenOff = false;
+    std::vector<UnmarkedAnswer> mUnmarked;
   };
+  /// aUnmarkedSince: when an answer began that may have ended as it should.
+  void Suspect(const Target& aEngine,
+               const std::string& aRequest,
+               const Parts& aParts,
+               std::optional<MonotonicTime> aUnmarkedSince);
   /// An engine that accepts a connection has not crashed.
   Task<void> Probe(Target aEngine);
   void OnCrash(const std::string& aEngine, const Suspicion& aSuspicion);
--- a/Source/Entry/StreamRun.cxx
+++ b/Source/Entry/StreamRun.cxx
@@ -718,7 +718,13 @@
     aConnection->Close();
     co_return SendResult::kBroken;
   }
-  RecordSound();
+  if (!aParser->need_eof()) {
+    RecordSound();
+  } else if (mWritingSince && !mSoundRecorded && !mMoving) {
+    const auto& headers = mRequest->mCallerHeaders;
+    mContext.mCrashWatch.OnUnmarkedEnd(
+      mEngine, headers.mId, headers.mPromptParts, *mWritingSince);
+  }
   mContext.mHealth.Succeeded(mEngine.mId, mFirstEventAt - mSentAt);
   mConnection.reset();
   mContext.mPool.ReleaseOrClose(aConnection, *aParser, *mWritten);
--- a/Source/Entry/TargetExchange.cxx
+++ b/Source/Entry/TargetExchange.cxx
@@ -183,6 +183,7 @@
   std::unique_ptr<http::response_parser<http::buffer_body>> parser;
   auto ec = co_await ReadAnswerHeader(
     mContext, aTarget, *connection, mRequest.mCallerHeaders.mId, parser);
+  const auto answeredAt = mContext.Now();
   std::string body;
   if (!ec) {
     if (mRequest.mRequest.method() == http::verb::head) {
@@ -241,7 +242,13 @@
   }
   if (success) {
     mContext.mHealth.Succeeded(aTarget.mId, now - began);
-    mContext.mCrashWatch.OnSound(mRequest.mCallerHeaders.mPromptParts, began);
+    const auto& parts = mRequest.mCallerHeaders.mPromptParts;
+    if (parser->need_eof() && now - answeredAt < CrashWatch::kSoundAfter) {
+      mContext.mCrashWatch.OnUnmarkedEnd(
+        aTarget, mRequest.mCallerHeaders.mId, parts, answeredAt);
+    } else {
+      mContext.mCrashWatch.OnSound(parts, began);
+    }
   }
   outcome.mKind = TargetOutcome::Kind::kAnswered;
   outcome.mResponse = MakeForwardedAnswer(header, std::move(body));
--- a/Tests/Entry/CrashWatchTest.cxx
+++ b/Tests/Entry/CrashWatchTest.cxx
@@ -2,6 +2,7 @@
 #include "Support/Section.h"
 
 #include <cppunit/extensions/HelperMacros.h>
+#include <map>
 
 namespace ragwortdeck {
 
@@ -104,6 +105,7 @@
   CPPUNIT_TEST(TestWaitingRequestWithAQuarantinedPart);
   CPPUNIT_TEST(TestBrokenAnswersOfSoundEngines);
   CPPUNIT_TEST(TestEngineCrashesInTheMiddleOfStreams);
+  CPPUNIT_TEST(TestCrashThatLooksLikeTheEndOfAnUnmarkedAnswer);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -233,6 +235,57 @@
                          metrics.Value("entry_engine_crashes_total") +
                            metrics.Value("entry_broken_answers_total"));
   }
+
+  void TestCrashThatLooksLikeTheEndOfAnUnmarkedAnswer()
+  {
+    const std::map<std::string, std::string> answers{
+      { "long",
+        "Content-Type: text/event-stream\r\n\r\nid: 1\ndata: piece\n\n" },
+      { "safe", "Content-Type: text/plain\r\n\r\npiece" }
+    };
+    for (const auto& [kind, answer] : answers) {
+      for (const bool crashes : { true, false }) {
+        RelayWorld world;
+        auto& engine = world.AddTarget("e1");
+        engine.AddScript([&](tcp::socket& aSocket, const std::string&) {
+          if (crashes) {
+            engine.StopListening();
+          }
+          WriteAll(aSocket,
+                   "HTTP/1.1 200 OK\r\nAttempt-Id: id1\r\n"
+                   "Response-Seal: seal\r\n" +
+                     answer);
+          return false;
+        });
+        world.Start();
+        auto& watch = world.Context().mCrashWatch;
+        CrashReport report;
+        report.mCrashes = { { "e8", 1000, { "bad" } } };
+        watch.Merge(report);
+        const auto caller = world.Call(RelayWorld::Request(
+          kind, "id1", "Connection: close\r\nPrefix-Hash: bad:9,e1:250\r\n"));
+        Section(kind + ": the caller gets the answer", [&] {
+          CPPUNIT_ASSERT(
+            Contains(world.Reply(*caller, "until it closes"), "piece"));
+        });
+        auto& metrics = world.Context().mMetrics;
+        if (crashes) {
+          Section(kind + ": the part is still suspected", [&] {
+            world.RunUntil(
+              [&] { return metrics.Value("entry_engine_crashes_total") == 1; });
+            CPPUNIT_ASSERT(!watch.MayRepeat({ "bad" }, "e9"));
+          });
+        } else {
+          Section(
+            kind + ": the answer of an engine that lives clears the part", [&] {
+              world.RunUntil([&] { return watch.MayRepeat({ "bad" }, "e9"); });
+              CPPUNIT_ASSERT_EQUAL(std::uint64_t(0),
+                                   metrics.Value("entry_broken_answers_total"));
+            });
+        }
+      }
+    }
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(CrashWatchTest);
