Serving: Withhold repeats for ten seconds after a crash, not two minutes

What callers saw: after one ordinary crash, requests with one of its parts were not repeated for up to 120 s, so a garbled answer of a healthy engine was a 502 where a second send would have served.

Cause: FindSuspect took any crash that was not yet forgotten, and other hosts were told of sound answers from the second crash on.

Change: a crash keeps requests from being repeated for kSuspectFor, and the other hosts are told from the first crash on, after one crash only with the next regular report. MayRepeat still does not wait for the probe.

Test: TestRepeatAfterAnOrdinaryCrash; it failed before, in its second section.

--- a/Source/Serving/PromptQuarantine.cxx
+++ b/Source/Serving/PromptQuarantine.cxx
@@ -62,9 +62,9 @@
 {
   for (const auto& part : aParts) {
     const auto it = mSuspects.find(part);
-    const bool suspected = mQuarantined.contains(part) ||
-                           (it != mSuspects.end() && it->second.size() >= 2 &&
-                            !Counted(part, it->second).empty());
+    const bool suspected =
+      mQuarantined.contains(part) ||
+      (it != mSuspects.end() && !Counted(part, it->second).empty());
     AddSound(part, { aBegan, true });
     if (suspected) {
       TellIfSuspected(part, aNow);
@@ -170,9 +170,7 @@
   if (crashes.size() > kMaxCrashesOfPart) {
     crashes.erase(crashes.begin());
   }
-  if (crashes.size() >= 2) {
-    TellIfSuspected(aPart, aNow);
-  }
+  TellIfSuspected(aPart, aNow);
   const auto it = mQuarantined.find(aPart);
   if (it == mQuarantined.end()) {
     return;
@@ -265,7 +263,10 @@
   const bool isNew = !mToldSound.contains(aPart);
   if (clears && (!isNew || mToldSound.size() < kMaxReportedParts)) {
     mToldSound[aPart] = aNow + kReportFor;
-    mHasNews = mHasNews || isNew;
+    // After one crash, the next regular report is soon enough.
+    const bool isUrgent =
+      suspect == mSuspects.end() || suspect->second.size() >= 2;
+    mHasNews = mHasNews || (isNew && isUrgent);
   }
 }
 
@@ -467,7 +468,8 @@
       continue;
     }
     for (const auto& crash : Counted(part, it->second)) {
-      if (crash.mEngine != aEngine && crash.mAt + kTogether <= aAt) {
+      if (crash.mEngine != aEngine && crash.mAt + kTogether <= aAt &&
+          aAt - crash.mAt < kSuspectFor) {
         return part;
       }
     }
--- a/Source/Serving/PromptQuarantine.h
+++ b/Source/Serving/PromptQuarantine.h
@@ -35,6 +35,8 @@
   static constexpr Duration kTogether = std::chrono::milliseconds(250);
   /// Reports of crashes of one engine within this time are of the same crash.
   static constexpr Duration kSameCrash = std::chrono::seconds(5);
+  /// How long a crash keeps requests with its parts from being repeated.
+  static constexpr Duration kSuspectFor = std::chrono::seconds(10);
   static constexpr Duration kReportFor = std::chrono::seconds(4);
   static constexpr Duration kForgetCrash = std::chrono::seconds(120);
   static constexpr Duration kHold = std::chrono::seconds(60);
@@ -105,7 +107,8 @@
   /// As Find(), for a request that is sent at once otherwise: it is the test of
   /// a part whose quarantine is over.
   std::optional<Block> FindAtSend(const Parts& aParts, MonotonicTime aNow);
-  /// A part that may have crashed an engine before aEngine crashed at aAt.
+  /// A part that may have crashed an engine before aEngine crashed at aAt, and
+  /// after aAt - kSuspectFor.
   std::optional<std::string> FindSuspect(const Parts& aParts,
                                          const std::string& aEngine,
                                          MonotonicTime aAt) const;
--- a/Tests/Serving/PromptQuarantineTest.cxx
+++ b/Tests/Serving/PromptQuarantineTest.cxx
@@ -261,6 +261,7 @@
   CPPUNIT_TEST(TestQuarantineIsTested);
   CPPUNIT_TEST(TestHostsDoNotProlongAQuarantine);
   CPPUNIT_TEST(TestHostileReports);
+  CPPUNIT_TEST(TestRepeatAfterAnOrdinaryCrash);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -561,6 +562,27 @@
       CPPUNIT_ASSERT(host.Update(At(10000)).size() <= 10300);
     });
   }
+
+  void TestRepeatAfterAnOrdinaryCrash()
+  {
+    PromptQuarantine host([](const std::string&) { return false; });
+    host.OnCrash("e1", { "common" }, At(0), At(0));
+    Section("soon after it, repeats are withheld", [&] {
+      CPPUNIT_ASSERT(host.FindSuspect({ "common" }, "e2", At(5000)));
+    });
+    Section("later they are not, though nothing cleared the part", [&] {
+      CPPUNIT_ASSERT(!host.FindSuspect({ "common" }, "e2", At(10000)));
+    });
+    Section("the others are told of the first answer after it", [&] {
+      host.OnSound({ "common" }, At(100), At(500));
+      const auto report = host.Report(At(500));
+      CPPUNIT_ASSERT_EQUAL(std::size_t(1), report.mSound.size());
+      PromptQuarantine other([](const std::string&) { return false; });
+      other.OnCrash("e1", { "common" }, At(0), At(0));
+      other.Merge(report, At(520));
+      CPPUNIT_ASSERT(!other.FindSuspect({ "common" }, "e2", At(1000)));
+    });
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(PromptQuarantineTest);
