Entry: Date plain answers by their header

What callers saw: the answer to a plain request that was sent before a crash and begun after it did not clear its parts. An engine that crashed long after it had begun an answer was taken as crashed by that prompt.

Cause: soundness was dated by a time taken before a connection was there, and an answer that broke off was reported however long it had been written.

Change: an answer begins when its header is read, and one that was written for kSoundAfter is not reported.

Test: TestWhenAPlainAnswerBegan; its first section failed before.

--- a/Source/Entry/TargetExchange.cxx
+++ b/Source/Entry/TargetExchange.cxx
@@ -201,9 +201,11 @@
   if (ec) {
     outcome.mReason = ec.message();
     mContext.mHealth.Failed(aTarget.mId, now);
-    mContext.mCrashWatch.OnBrokenOff(aTarget,
-                                     mRequest.mCallerHeaders.mId,
-                                     mRequest.mCallerHeaders.mPromptParts);
+    if (now - answeredAt < CrashWatch::kSoundAfter) {
+      mContext.mCrashWatch.OnBrokenOff(aTarget,
+                                       mRequest.mCallerHeaders.mId,
+                                       mRequest.mCallerHeaders.mPromptParts);
+    }
     connection->Close();
     co_return outcome;
   }
@@ -247,7 +249,7 @@
       mContext.mCrashWatch.OnUnmarkedEnd(
         aTarget, mRequest.mCallerHeaders.mId, parts, answeredAt);
     } else {
-      mContext.mCrashWatch.OnSound(parts, began);
+      mContext.mCrashWatch.OnSound(parts, answeredAt);
     }
   }
   outcome.mKind = TargetOutcome::Kind::kAnswered;
--- a/Tests/Entry/CrashWatchTest.cxx
+++ b/Tests/Entry/CrashWatchTest.cxx
@@ -106,6 +106,7 @@
   CPPUNIT_TEST(TestBrokenAnswersOfSoundEngines);
   CPPUNIT_TEST(TestEngineCrashesInTheMiddleOfStreams);
   CPPUNIT_TEST(TestCrashThatLooksLikeTheEndOfAnUnmarkedAnswer);
+  CPPUNIT_TEST(TestWhenAPlainAnswerBegan);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -286,6 +287,64 @@
       }
     }
   }
+
+  void TestWhenAPlainAnswerBegan()
+  {
+    RelayWorld world;
+    auto& engine = world.AddTarget("e1");
+    tcp::socket* socket = nullptr;
+    for (int i = 0; i < 2; ++i) {
+      engine.AddScript([&](tcp::socket& aSocket, const std::string&) {
+        socket = &aSocket;
+        return true;
+      });
+    }
+    world.Start();
+    auto& watch = world.Context().mCrashWatch;
+    const auto ask = [&](const std::string& aId) {
+      socket = nullptr;
+      const auto caller = world.Call(RelayWorld::Request(
+        "safe", aId, "Connection: close\r\nPrefix-Hash: c0:9,e1:250\r\n"));
+      world.RunUntil([&] { return socket != nullptr; });
+      return caller;
+    };
+    const auto wait = [&](milliseconds aTime) {
+      const auto until = world.Context().Now() + Duration(aTime);
+      world.RunUntil([&] { return world.Context().Now() >= until; });
+    };
+    Section("an answer that began after a crash clears its parts, though the "
+            "request was sent before",
+            [&] {
+              const auto caller = ask("id1");
+              wait(milliseconds(50));
+              CrashReport report;
+              report.mCrashes = { { "e8", 0, { "c0" } } };
+              watch.Merge(report);
+              wait(milliseconds(300));
+              CPPUNIT_ASSERT(!watch.MayRepeat({ "c0" }, "e9"));
+              WriteAll(*socket, RelayWorld::Answer("id1", "piece"));
+              CPPUNIT_ASSERT(Contains(world.Reply(*caller, "end"), "piece"));
+              CPPUNIT_ASSERT(watch.MayRepeat({ "c0" }, "e9"));
+            });
+    Section("an engine that crashes long after the beginning of an answer does "
+            "not blame it",
+            [&] {
+              const auto caller = ask("id2");
+              WriteAll(*socket,
+                       "HTTP/1.1 200 OK\r\nAttempt-Id: id2\r\n"
+                       "Response-Seal: seal\r\nContent-Length: 99\r\n\r\n"
+                       "piece");
+              wait(milliseconds(600));
+              engine.StopListening();
+              error_code ec;
+              socket->shutdown(tcp::socket::shutdown_both, ec);
+              world.Reply(*caller, "end");
+              wait(milliseconds(500));
+              CPPUNIT_ASSERT_EQUAL(
+                std::uint64_t(0),
+                world.Context().mMetrics.Value("entry_engine_crashes_total"));
+            });
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(CrashWatchTest);
