Entry: Check the quarantine again when a plain request has its connection

What callers saw: a plain request whose part was quarantined while its host waited for a connection (up to 350 ms) was sent and crashed one more engine.

Change: TargetExchange checks at the send, as StreamRun does, and returns kNotSent; the test of a part is counted there and no longer before a target is chosen.

Test: TestQuarantineDuringAConnect; it failed before.

--- a/Source/Entry/PlainRelay.cxx
+++ b/Source/Entry/PlainRelay.cxx
@@ -161,7 +161,8 @@
   while (!mRequest.HasEnded()) {
     if (start) {
       start = false;
-      mBlock = mContext.mCrashWatch.FindAtSend(parts);
+      // The test of a part is counted when the request is sent.
+      mBlock = mContext.mCrashWatch.Find(parts);
       const auto target = mBlock ? std::nullopt : ChooseTarget();
       if (target) {
         StartExchange(*target);
@@ -202,6 +203,10 @@
     }
     if (outcome.mKind == Kind::kNotSent) {
       --mRequest.mAttempts;
+      if (outcome.mBlock) {
+        mBlock = outcome.mBlock;
+        break;
+      }
       if (++mUnreachable >= kMaxUnreachable) {
         break;
       }
--- a/Source/Entry/TargetExchange.cxx
+++ b/Source/Entry/TargetExchange.cxx
@@ -164,6 +164,13 @@
     outcome.mReason = "wants no requests";
     co_return outcome;
   }
+  outcome.mBlock =
+    mContext.mCrashWatch.FindAtSend(mRequest.mCallerHeaders.mPromptParts);
+  if (outcome.mBlock) {
+    mContext.mPool.Release(std::move(mConnection), 0);
+    outcome.mReason = "a prompt part is quarantined";
+    co_return outcome;
+  }
   const auto headers =
     MakeTargetRequestHeaders(mRequest, aTarget.mId, mContext.Now());
   auto request = std::make_shared<http::request<http::string_body>>(
--- a/Source/Entry/TargetExchange.h
+++ b/Source/Entry/TargetExchange.h
@@ -25,6 +25,8 @@
   /// See DescribeEnd().
   const char* mAnswerEnd = "";
   http::response<http::string_body> mResponse;
+  /// The quarantined part that kept the request from being sent.
+  std::optional<CrashWatch::Block> mBlock;
 };
 
 /// \brief Sends a request to one target and reads its whole answer.
--- a/Tests/Entry/CrashWatchTest.cxx
+++ b/Tests/Entry/CrashWatchTest.cxx
@@ -107,6 +107,7 @@
   CPPUNIT_TEST(TestEngineCrashesInTheMiddleOfStreams);
   CPPUNIT_TEST(TestCrashThatLooksLikeTheEndOfAnUnmarkedAnswer);
   CPPUNIT_TEST(TestWhenAPlainAnswerBegan);
+  CPPUNIT_TEST(TestQuarantineDuringAConnect);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -345,6 +346,28 @@
                 world.Context().mMetrics.Value("entry_engine_crashes_total"));
             });
   }
+
+  void TestQuarantineDuringAConnect()
+  {
+    RelayWorld world;
+    auto& engine = world.AddTarget("e1");
+    engine.AddScript([](tcp::socket& aSocket, const std::string&) {
+      WriteAll(aSocket, RelayWorld::Answer("id1", "piece"));
+      return true;
+    });
+    world.Start();
+    const auto caller = world.Call(RelayWorld::Request(
+      "safe", "id1", "Connection: close\r\nPrefix-Hash: bad:9,e1:250\r\n"));
+    world.RunUntil([&] { return world.Context().mInFlight["e1"] == 1; });
+    CrashReport report;
+    report.mQuarantined = { { "bad", 2000, 50000, 60000, 3 } };
+    world.Context().mCrashWatch.Merge(report);
+    const auto reply = world.Reply(*caller, "until the connection closes");
+    CPPUNIT_ASSERT(reply.starts_with("HTTP/1.1 503"));
+    CPPUNIT_ASSERT(Contains(reply, "Retry-After: 49.") ||
+                   Contains(reply, "Retry-After: 50"));
+    CPPUNIT_ASSERT(engine.Requests().empty());
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(CrashWatchTest);
