Entry: Ignore the crashes in reports that arrived during a suspension

What callers saw: a host that was suspended reads old reports when it resumes and dates their crashes and answers anew, so it could convict sound parts, or release deadly ones.

Change: while the crash loop has not run for a second, and for 0.5 s after it found that out, only the quarantines of reports are merged.

Test: TestReportsThatASuspendedHostReads; it failed before.

--- a/Source/Entry/CrashWatch.cxx
+++ b/Source/Entry/CrashWatch.cxx
@@ -11,6 +11,10 @@
 using std::chrono::milliseconds;
 
 constexpr milliseconds kCheckInterval{ 100 };
+/// A loop that runs later than this was suspended.
+constexpr milliseconds kSuspended{ 1000 };
+/// Time in which a host that was suspended reads what had arrived.
+constexpr milliseconds kReadOld{ 500 };
 /// Interval at which recent crashes are reported again, as messages get lost.
 constexpr milliseconds kCrashInterval{ 500 };
 /// Interval at which each of up to kTellers hosts reports the quarantined
@@ -42,7 +46,12 @@
 CrashWatch::Loop()
 {
   while (true) {
+    mTickAt = mContext.Now();
     co_await SleepFor(mContext.mIo, kCheckInterval);
+    const auto now = mContext.Now();
+    if (now - *mTickAt >= kSuspended) {
+      mReadsOldUntil = now + kReadOld;
+    }
     Update();
     Publish();
   }
@@ -142,13 +151,27 @@
   mQuarantine.OnSound(aParts, aBegan, mContext.Now());
 }
 
+bool
+CrashWatch::MayBeDated(MonotonicTime aNow) const
+{
+  return aNow >= mReadsOldUntil && (!mTickAt || aNow - *mTickAt < kSuspended);
+}
+
 void
 CrashWatch::Merge(const CrashReport& aReport)
 {
-  if (!aReport.IsEmpty()) {
-    mQuarantine.Merge(aReport, mContext.Now());
-    Update();
+  if (aReport.IsEmpty()) {
+    return;
   }
+  const auto now = mContext.Now();
+  if (MayBeDated(now)) {
+    mQuarantine.Merge(aReport, now);
+  } else {
+    CrashReport quarantines;
+    quarantines.mQuarantined = aReport.mQuarantined;
+    mQuarantine.Merge(quarantines, now);
+  }
+  Update();
 }
 
 std::optional<CrashWatch::Block>
--- a/Source/Entry/CrashWatch.h
+++ b/Source/Entry/CrashWatch.h
@@ -29,7 +29,9 @@
 
   explicit CrashWatch(EntryContext& aContext);
 
-  /// Applies decisions and sends reports, for the life of the process.
+  /// Applies decisions and sends reports, for the life of the process. Reports
+  /// that arrived while the process was suspended are not dated, so crashes and
+  /// answers in them are ignored.
   Task<void> Loop();
   /// The answer to the request aRequest, whose prompt has the shared parts
   /// aParts, broke off before aEngine had written it for kSoundAfter.
@@ -92,8 +94,14 @@
   /// Sends a report if one is due.
   void Publish();
 
+  bool MayBeDated(MonotonicTime aNow) const;
+
   EntryContext& mContext;
   PromptQuarantine mQuarantine;
+  /// The last run of the loop; none before the first one.
+  std::optional<MonotonicTime> mTickAt;
+  /// Until when messages are read that arrived during a suspension.
+  MonotonicTime mReadsOldUntil;
   /// By engine.
   std::map<std::string, Suspicion> mSuspicions;
   MonotonicTime mReportedAt;
--- a/Tests/Entry/CrashWatchTest.cxx
+++ b/Tests/Entry/CrashWatchTest.cxx
@@ -3,6 +3,7 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 #include <map>
+#include <thread>
 
 namespace ragwortdeck {
 
@@ -108,6 +109,7 @@
   CPPUNIT_TEST(TestCrashThatLooksLikeTheEndOfAnUnmarkedAnswer);
   CPPUNIT_TEST(TestWhenAPlainAnswerBegan);
   CPPUNIT_TEST(TestQuarantineDuringAConnect);
+  CPPUNIT_TEST(TestReportsThatASuspendedHostReads);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -368,6 +370,37 @@
                    Contains(reply, "Retry-After: 50"));
     CPPUNIT_ASSERT(engine.Requests().empty());
   }
+
+  void TestReportsThatASuspendedHostReads()
+  {
+    RelayWorld world;
+    world.Start();
+    auto& context = world.Context();
+    auto& watch = context.mCrashWatch;
+    context.SpawnLoop("crash_loop", [&watch] { return watch.Loop(); });
+    const auto wait = [&](milliseconds aTime) {
+      const auto until = context.Now() + Duration(aTime);
+      world.RunUntil([&] { return context.Now() >= until; });
+    };
+    CrashReport report;
+    report.mCrashes = { { "e8", 600, { "c0" } } };
+    wait(milliseconds(300));
+    std::this_thread::sleep_for(milliseconds(1500));
+    Section("before it notices the time", [&] {
+      watch.Merge(report);
+      CPPUNIT_ASSERT(watch.MayRepeat({ "c0" }, "e9"));
+    });
+    Section("just after it noticed the time", [&] {
+      wait(milliseconds(10));
+      watch.Merge(report);
+      CPPUNIT_ASSERT(watch.MayRepeat({ "c0" }, "e9"));
+    });
+    Section("when it has read what had arrived", [&] {
+      wait(milliseconds(700));
+      watch.Merge(report);
+      CPPUNIT_ASSERT(!watch.MayRepeat({ "c0" }, "e9"));
+    });
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(CrashWatchTest);
