Serving: Tell of an answer until a host tells of one as new

What callers saw: the report of an older answer stopped this host from telling of its newer one, so crashes between the two stayed counted on other hosts.

Test: TestOlderAnswerOfAnotherHost; it failed before.

--- a/Source/Serving/PromptQuarantine.cxx
+++ b/Source/Serving/PromptQuarantine.cxx
@@ -78,10 +78,13 @@
   std::size_t n = 0;
   for (const auto& sound : aReport.mSound) {
     if (IsName(sound.mPart) && n++ < kMaxReportedParts) {
-      AddSound(sound.mPart,
-               { aNow - Bounded(sound.mAgeMs, kForgetCrash), false });
-      // The others have been told.
-      mToldSound.erase(sound.mPart);
+      const auto began = aNow - Bounded(sound.mAgeMs, kForgetCrash);
+      AddSound(sound.mPart, { began, false });
+      const auto last = mSound.find(sound.mPart);
+      if (last == mSound.end() || last->second.mBegan <= began) {
+        // The others have been told.
+        mToldSound.erase(sound.mPart);
+      }
     }
   }
   n = 0;
--- a/Tests/Serving/PromptQuarantineTest.cxx
+++ b/Tests/Serving/PromptQuarantineTest.cxx
@@ -262,6 +262,7 @@
   CPPUNIT_TEST(TestHostsDoNotProlongAQuarantine);
   CPPUNIT_TEST(TestHostileReports);
   CPPUNIT_TEST(TestRepeatAfterAnOrdinaryCrash);
+  CPPUNIT_TEST(TestOlderAnswerOfAnotherHost);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -583,6 +584,28 @@
       CPPUNIT_ASSERT(!other.FindSuspect({ "common" }, "e2", At(1000)));
     });
   }
+
+  void TestOlderAnswerOfAnotherHost()
+  {
+    PromptQuarantine host([](const std::string&) { return false; });
+    host.OnCrash("e1", { "p" }, At(0), At(0));
+    host.OnCrash("e2", { "p" }, At(1000), At(1000));
+    host.OnSound({ "p" }, At(1500), At(1800));
+    CrashReport report;
+    Section("it does not clear the later crash, so this host still tells of "
+            "its answer",
+            [&] {
+              report.mSound = { { "p", 1400 } };
+              host.Merge(report, At(1900));
+              CPPUNIT_ASSERT_EQUAL(std::size_t(1),
+                                   host.Report(At(1900)).mSound.size());
+            });
+    Section("a newer one is enough", [&] {
+      report.mSound = { { "p", 100 } };
+      host.Merge(report, At(1900));
+      CPPUNIT_ASSERT(host.Report(At(1900)).mSound.empty());
+    });
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(PromptQuarantineTest);
