Serving: Bound the count of crashes that a host reports

Cause: a count at the end of its range overflowed with the next crash.

Test: TestHugeCountOfCrashes; it failed before (the count became negative).

--- a/Source/Serving/PromptQuarantine.cxx
+++ b/Source/Serving/PromptQuarantine.cxx
@@ -223,11 +223,12 @@
 {
   const auto known = mQuarantined.find(aPart.mPart);
   const bool isKnown = known != mQuarantined.end();
+  const auto crashes = std::min(aPart.mCrashes, kMaxReportedCount);
   const auto hold = std::max(Bounded(aPart.mHoldMs, kLongestHold), kHold);
   // Otherwise hosts could keep a quarantine alive by telling each other.
   const auto remaining = Bounded(aPart.mRemainingMs, hold, -kForgetQuarantine);
-  if (aPart.mCrashes <= 0 || remaining <= -kReportQuarantine ||
-      (isKnown && std::pair(aPart.mCrashes, hold) <=
+  if (crashes <= 0 || remaining <= -kReportQuarantine ||
+      (isKnown && std::pair(crashes, hold) <=
                     std::pair(known->second.mCrashes, known->second.mHold))) {
     return;
   }
@@ -236,7 +237,7 @@
     aNow - Bounded(aPart.mAgeMs, kForgetQuarantine + kLongestHold);
   held.mHold = hold;
   held.mUntil = aNow + remaining;
-  held.mCrashes = aPart.mCrashes;
+  held.mCrashes = crashes;
   const auto sound = mSound.find(aPart.mPart);
   if (sound != mSound.end() && sound->second.mBegan > held.mFirstAt) {
     TellIfSuspected(aPart.mPart, aNow);
--- a/Source/Serving/PromptQuarantine.h
+++ b/Source/Serving/PromptQuarantine.h
@@ -54,6 +54,7 @@
   static constexpr std::size_t kMaxQuarantined = 256;
   static constexpr std::size_t kMaxPartsOfCrash = 64;
   static constexpr std::size_t kMaxNameBytes = 64;
+  static constexpr std::int64_t kMaxReportedCount = 1'000'000;
 
   using Parts = std::vector<std::string>;
   /// Whether this host is the one that tests a part.
--- a/Tests/Serving/PromptQuarantineTest.cxx
+++ b/Tests/Serving/PromptQuarantineTest.cxx
@@ -263,6 +263,7 @@
   CPPUNIT_TEST(TestHostileReports);
   CPPUNIT_TEST(TestRepeatAfterAnOrdinaryCrash);
   CPPUNIT_TEST(TestOlderAnswerOfAnotherHost);
+  CPPUNIT_TEST(TestHugeCountOfCrashes);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -606,6 +607,19 @@
       CPPUNIT_ASSERT(host.Report(At(1900)).mSound.empty());
     });
   }
+
+  void TestHugeCountOfCrashes()
+  {
+    PromptQuarantine host([](const std::string&) { return false; });
+    CrashReport report;
+    report.mQuarantined = {
+      { "r", 0, 1000, 60000, std::numeric_limits<std::int64_t>::max() }
+    };
+    host.Merge(report, At(0));
+    const auto before = host.Find({ "r" }, At(0))->mCrashes;
+    host.OnCrash("e1", { "r" }, At(2000), At(2000));
+    CPPUNIT_ASSERT(host.Find({ "r" }, At(2000))->mCrashes > before);
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(PromptQuarantineTest);
