Serving: Let further hosts test a part that its owner does not test

What callers saw: when the hold of a quarantine was over, only the owner of the part could test it. If it got no such request, all hosts went on to refuse the part until the quarantine was dropped, ten minutes later.

Change: the number of names whose owners may test doubles with each kTestTimeout that passes without a crash or an answer; after seven times any host may.

Not changed: a hot part is still convicted when all engines go down one after the other. Waiting for an answer without the part would leave a deadly part free when no other requests come, which existing tests check.

Tests: TestOwnerThatGetsNoSuchRequest and TestMoreHostsMayTestAsTimePasses; both failed before.

--- a/Source/Serving/PromptQuarantine.cxx
+++ b/Source/Serving/PromptQuarantine.cxx
@@ -378,6 +378,23 @@
   return change;
 }
 
+bool
+PromptQuarantine::MayTest(const std::string& aPart, Duration aOverSince) const
+{
+  // With as many names, nearly all hosts of a large fleet own one.
+  constexpr int kMaxDoublings = 7;
+  const auto doublings = aOverSince / kTestTimeout;
+  if (doublings >= kMaxDoublings || mIsOwner(aPart)) {
+    return true;
+  }
+  for (int i = 1; i < 1 << doublings; ++i) {
+    if (mIsOwner(aPart + '#' + std::to_string(i))) {
+      return true;
+    }
+  }
+  return false;
+}
+
 std::optional<PromptQuarantine::Block>
 PromptQuarantine::BlockOf(const std::string& aPart, MonotonicTime aNow) const
 {
@@ -390,7 +407,7 @@
     return Block{ aPart, held.mCrashes, held.mUntil - aNow };
   }
   const bool isTested = held.mTestedAt && aNow - *held.mTestedAt < kTestTimeout;
-  if (!isTested && mIsOwner(aPart)) {
+  if (!isTested && MayTest(aPart, aNow - held.mUntil)) {
     return std::nullopt;
   }
   return Block{ aPart, held.mCrashes, kTestTimeout };
--- a/Source/Serving/PromptQuarantine.h
+++ b/Source/Serving/PromptQuarantine.h
@@ -27,6 +27,8 @@
 ///   answer. A crash is reported for kReportFor; quarantines, by all hosts.
 /// - The part is sound after all, or was mended. After kHold one host, the
 ///   owner of the part, lets one request pass; each crash doubles the time.
+/// - The owner gets no such request. The number of hosts that may test doubles
+///   every kTestTimeout, until a crash or an answer is known.
 class PromptQuarantine
 {
 public:
@@ -57,7 +59,8 @@
   static constexpr std::int64_t kMaxReportedCount = 1'000'000;
 
   using Parts = std::vector<std::string>;
-  /// Whether this host is the one that tests a part.
+  /// Whether this host is the one that tests a part. The names of parts with a
+  /// number appended stand for further hosts.
   using IsOwner = std::function<bool(const std::string&)>;
 
   /// \brief Why a request may not be sent.
@@ -152,6 +155,8 @@
   std::vector<Crash> Counted(const std::string& aPart,
                              const std::vector<Crash>& aCrashes) const;
   bool IsToBlame(const std::vector<Crash>& aCounted, MonotonicTime aNow) const;
+  /// Whether this host may test aPart, whose quarantine is over.
+  bool MayTest(const std::string& aPart, Duration aOverSince) const;
   std::optional<Block> BlockOf(const std::string& aPart,
                                MonotonicTime aNow) const;
   void Hold(const std::string& aPart, const Quarantine& aQuarantine);
--- a/Tests/Serving/PromptQuarantineTest.cxx
+++ b/Tests/Serving/PromptQuarantineTest.cxx
@@ -50,7 +50,10 @@
   {
     const auto index = mHosts.size();
     mHosts.push_back(std::make_unique<PromptQuarantine>(
-      [this, index](const std::string&) { return index == mOwner; }));
+      [this, index](const std::string& aName) {
+        const auto isFirst = aName.find('#') == std::string::npos;
+        return index == (isFirst ? mOwner : OwnerOf(aName));
+      }));
     mReportedAt.push_back(-10000);
   }
 
@@ -127,6 +130,10 @@
     }
   }
 
+  std::size_t OwnerOf(const std::string& aName) const
+  {
+    return std::hash<std::string>()(aName) % mHosts.size();
+  }
   PromptQuarantine& Host(std::size_t aIndex) { return *mHosts[aIndex]; }
   std::size_t Hosts() const { return mHosts.size(); }
   std::size_t CountBlocking(const Parts& aParts) const
@@ -264,6 +271,8 @@
   CPPUNIT_TEST(TestRepeatAfterAnOrdinaryCrash);
   CPPUNIT_TEST(TestOlderAnswerOfAnotherHost);
   CPPUNIT_TEST(TestHugeCountOfCrashes);
+  CPPUNIT_TEST(TestOwnerThatGetsNoSuchRequest);
+  CPPUNIT_TEST(TestMoreHostsMayTestAsTimePasses);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -620,6 +629,57 @@
     host.OnCrash("e1", { "r" }, At(2000), At(2000));
     CPPUNIT_ASSERT(host.Find({ "r" }, At(2000))->mCrashes > before);
   }
+
+  void TestOwnerThatGetsNoSuchRequest()
+  {
+    Fleet fleet(18, 40, 0.03);
+    fleet.mDeadly = { "bad" };
+    fleet.mOwner = fleet.Hosts();
+    int sent = 0;
+    const auto send = [&] {
+      if (fleet.Random().Chance(0.03) && fleet.Send({ "bad" })) {
+        ++sent;
+      }
+    };
+    fleet.Run(8000, send);
+    const int last = fleet.mCrashedAt.back();
+    sent = 0;
+    Section("for some time the others leave the test to the owner", [&] {
+      fleet.Run(last + 74000 - fleet.Now(), send);
+      CPPUNIT_ASSERT_EQUAL(0, sent);
+    });
+    Section("then another host tests", [&] {
+      fleet.Run(120000, send);
+      CPPUNIT_ASSERT(sent >= 1);
+      CPPUNIT_ASSERT(sent <= 3);
+    });
+    Section("an answer ends the quarantine", [&] {
+      fleet.mDeadly.clear();
+      fleet.Run(250000, send);
+      CPPUNIT_ASSERT_EQUAL(std::size_t(0), fleet.CountBlocking({ "bad" }));
+    });
+  }
+
+  void TestMoreHostsMayTestAsTimePasses()
+  {
+    std::set<std::string> asked;
+    PromptQuarantine host([&](const std::string& aName) {
+      asked.insert(aName);
+      return false;
+    });
+    Quarantine(host, 0);
+    std::size_t known = 0;
+    for (int n = 0; n < 7; ++n) {
+      // The last crash is at 2 s, and the hold ends a minute later.
+      const int atMs = 62500 + n * 15000;
+      asked.clear();
+      CPPUNIT_ASSERT(host.Find({ "bad" }, At(atMs)));
+      CPPUNIT_ASSERT(asked.contains("bad"));
+      CPPUNIT_ASSERT(asked.size() > known);
+      known = asked.size();
+    }
+    CPPUNIT_ASSERT(!host.Find({ "bad" }, At(62500 + 7 * 15000)));
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(PromptQuarantineTest);
