Tests: Mend three findings of the linter

An unchecked access to optionals and a function that was copied for each call, in tests of this series.

--- a/Tests/Entry/FieldFailuresTest.cxx
+++ b/Tests/Entry/FieldFailuresTest.cxx
@@ -121,7 +121,8 @@
   /// Both ended without an error.
   bool IsClean() const
   {
-    return !*mState->mSent && *mState->mRead == asio::error::eof;
+    return mState->mSent == error_code() &&
+           mState->mRead == error_code(asio::error::eof);
   }
   const std::string& Answer() const { return mState->mAnswer; }
 
--- a/Tests/Entry/TargetNoticeTest.cxx
+++ b/Tests/Entry/TargetNoticeTest.cxx
@@ -85,7 +85,7 @@
 public:
   /// aOnStop is called when the run has been stopped. The answer to the call
   /// that copies the run first has aHeaders.
-  explicit MovedStream(std::function<void(EntryContext&)> aOnStop,
+  explicit MovedStream(const std::function<void(EntryContext&)>& aOnStop,
                        const std::string& aHeaders = kLeaving)
     : mSource(AddTarget("t1"))
     , mDestination(AddTarget("t2"))
