Entry: Decode the header of an answer once for what its target says

RecordNotices() and RecordAnswer() each decoded the header that ReadAnswerHeader() decodes again for the id, on every answer of every target, a 503 once more. They now take the decoded headers; the replies to calls are decoded by their callers. No behaviour changes.

--- a/Source/Entry/EntryContext.cxx
+++ b/Source/Entry/EntryContext.cxx
@@ -162,13 +162,13 @@
 void
 EntryContext::RecordAnswer(const Target& aTarget,
                            unsigned aStatus,
-                           const HttpFields& aHeader)
+                           const TargetResponseHeaders& aHeaders)
 {
-  RecordNotices(aTarget, aStatus, aHeader);
+  RecordNotices(aTarget, aStatus, aHeaders);
   if (aStatus != kStatusUnavailable) {
     return;
   }
-  const auto wish = mCodec.ReadTargetResponseHeaders(aHeader).mRetryAfter;
+  const auto wish = aHeaders.mRetryAfter;
   const auto now = Now();
   if (!wish || !mPauses.Start(aTarget, *wish, now)) {
     return;
@@ -185,15 +185,14 @@
 void
 EntryContext::RecordNotices(const Target& aTarget,
                             unsigned aStatus,
-                            const HttpFields& aHeader)
+                            const TargetResponseHeaders& aHeaders)
 {
   if (aStatus == kStatusMisdirected) {
     // Another target has the address.
     return;
   }
-  const auto headers = mCodec.ReadTargetResponseHeaders(aHeader);
   const auto now = Now();
-  if (headers.mLeaving &&
+  if (aHeaders.mLeaving &&
       mTargets.MarkLeaving(aTarget.mId, aTarget.mBorn, now)) {
     mMetrics.Count("entry_leaving_answers_total");
     mLog.Write(
--- a/Source/Entry/EntryContext.h
+++ b/Source/Entry/EntryContext.h
@@ -112,11 +112,11 @@
   /// Takes what aTarget says of itself in the header of an answer to a request.
   void RecordAnswer(const Target& aTarget,
                     unsigned aStatus,
-                    const HttpFields& aHeader);
+                    const TargetResponseHeaders& aHeaders);
   /// Takes what aTarget says of itself in the header of any answer.
   void RecordNotices(const Target& aTarget,
                      unsigned aStatus,
-                     const HttpFields& aHeader);
+                     const TargetResponseHeaders& aHeaders);
   /// Whether a request that aTarget was chosen for may still be sent there;
   /// aResumes means that it continues a stopped run. Logs a request that may
   /// not.
--- a/Source/Entry/SiteFeed.cxx
+++ b/Source/Entry/SiteFeed.cxx
@@ -465,7 +465,9 @@
   auto report = mContext.mCodec.ReadReport(reply.value().mBody);
   if (!report || !report.value().mLeaving) {
     mContext.RecordNotices(
-      aEngine, reply.value().mStatus, reply.value().mHeaders);
+      aEngine,
+      reply.value().mStatus,
+      mContext.mCodec.ReadTargetResponseHeaders(reply.value().mHeaders));
     co_return;
   }
   const auto born =
--- a/Source/Entry/StreamRun.cxx
+++ b/Source/Entry/StreamRun.cxx
@@ -905,7 +905,10 @@
       co_return false;
     }
     const auto status = reply.value().mStatus;
-    mContext.RecordNotices(source, status, reply.value().mHeaders);
+    mContext.RecordNotices(
+      source,
+      status,
+      mContext.mCodec.ReadTargetResponseHeaders(reply.value().mHeaders));
     if (status == kStatusOk && !last) {
       last = true;
       mMayBeStopped = false;
--- a/Source/Entry/TargetExchange.cxx
+++ b/Source/Entry/TargetExchange.cxx
@@ -116,9 +116,9 @@
     if (status < kStatusOk) {
       continue;
     }
-    aContext.RecordAnswer(aTarget, status, aParser->get());
     const auto responseHeaders =
       aContext.mCodec.ReadTargetResponseHeaders(aParser->get());
+    aContext.RecordAnswer(aTarget, status, responseHeaders);
     // A refusal may come without the id, from a target that did not read the
     // request. On a reused connection, or after the answer to another request,
     // it may be a late answer, and this request may run.
--- a/Tests/Entry/TargetNoticeTest.cxx
+++ b/Tests/Entry/TargetNoticeTest.cxx
@@ -68,11 +68,11 @@
     Context().mTargets.Apply(list, Context().Now());
   }
 
-  static HttpFields Notice(const char* aName, const char* aValue)
+  static TargetResponseHeaders Notice(const char* aName, const char* aValue)
   {
     HttpFields fields;
     fields.set(aName, aValue);
-    return fields;
+    return FleetCodec().ReadTargetResponseHeaders(fields);
   }
 
   ScriptedTarget& mFirst;
