--- a/Source/Core/HttpStatus.h
+++ b/Source/Core/HttpStatus.h
@@ -9,6 +9,7 @@
 inline constexpr int kStatusForbidden = 403;
 inline constexpr int kStatusNotFound = 404;
 inline constexpr int kStatusWrongMethod = 405;
+inline constexpr int kStatusRequestTimeout = 408;
 inline constexpr int kStatusConflict = 409;
 inline constexpr int kStatusGone = 410;
 inline constexpr int kStatusTooLarge = 413;
--- a/Source/Entry/TargetExchange.cxx
+++ b/Source/Entry/TargetExchange.cxx
@@ -11,7 +11,6 @@
 /// Late answers to other requests that are skipped on one connection.
 constexpr int kMaxLateAnswers = 3;
 constexpr std::size_t kReadBytes = 8192;
-constexpr unsigned kStatusRequestTimeout = 408;
 /// A longer late answer fails the connection.
 constexpr std::size_t kMaxDiscardedBytes = std::size_t(256) << 10U;
 
