--- a/Source/Entry/CallerSession.cxx
+++ b/Source/Entry/CallerSession.cxx
@@ -194,21 +194,18 @@
   }
   if (ec) {
     if (IsHttpError(ec)) {
-      aRequest.mAnswerBegun = true;
-      co_await Reject(RejectionStatus(ec), ec.message());
+      co_await Reject(aRequest, RejectionStatus(ec), ec.message());
     }
     co_return false;
   }
   aRequest.mArrived = mContext.Now();
   if (IsAmbiguous(parser.get())) {
-    aRequest.mAnswerBegun = true;
-    co_await Reject(kStatusBadRequest, "ambiguous request");
+    co_await Reject(aRequest, kStatusBadRequest, "ambiguous request");
     co_return false;
   }
   if (mContext.mBufferedBytes > kMaxBufferedBytes) {
     mContext.mMetrics.Count("entry_shed_bodies_total");
-    aRequest.mAnswerBegun = true;
-    co_await Reject(kStatusUnavailable, "too many bodies in memory");
+    co_await Reject(aRequest, kStatusUnavailable, "too many bodies in memory");
     co_return false;
   }
   if (beast::iequals(parser.get()[http::field::expect], "100-continue") &&
@@ -222,8 +219,7 @@
   co_await http::async_read(mStream, mBuffer, parser, RedirectError(ec));
   if (ec) {
     if (IsHttpError(ec)) {
-      aRequest.mAnswerBegun = true;
-      co_await Reject(RejectionStatus(ec), ec.message());
+      co_await Reject(aRequest, RejectionStatus(ec), ec.message());
     }
     co_return false;
   }
@@ -233,8 +229,11 @@
 }
 
 Task<void>
-CallerSession::Reject(unsigned aStatus, std::string aText)
+CallerSession::Reject(CallerRequest& aRequest,
+                      unsigned aStatus,
+                      std::string aText)
 {
+  aRequest.mAnswerBegun = true;
   mContext.mMetrics.Count("entry_rejected_total");
   mContext.mLog.Write("rejected",
                       { { "status", aStatus }, { "reason", aText } });
--- a/Source/Entry/CallerSession.h
+++ b/Source/Entry/CallerSession.h
@@ -27,7 +27,9 @@
   /// the caller.
   Task<void> AnswerAfterError(CallerRequest& aRequest);
   /// Answers a request that could not be read; the connection then closes.
-  Task<void> Reject(unsigned aStatus, std::string aText);
+  Task<void> Reject(CallerRequest& aRequest,
+                    unsigned aStatus,
+                    std::string aText);
   /// Ends aRequest when the caller closes the connection.
   void EndWhenCallerCloses(const std::shared_ptr<CallerRequest>& aRequest);
   /// Ends the watch of EndWhenCallerCloses().
