--- a/Tests/Entry/FieldFailuresTest.cxx
+++ b/Tests/Entry/FieldFailuresTest.cxx
@@ -1,6 +1,5 @@
 #include "Entry/PendingConnection.h"
 #include "Entry/RelayWorld.h"
-#include "Entry/StreamRun.h"
 #include "Entry/TargetExchange.h"
 #include "Support/Section.h"
 
@@ -463,12 +462,7 @@
       world.Context().Now());
     const auto caller = world.Call(RelayWorld::Request("long", "id1"));
     CPPUNIT_ASSERT(Contains(world.Reply(*caller, "id: 1\n"), "id: 1\n"));
-    StreamRun::MovePlan plan;
-    plan.mDestination = "t2";
-    plan.mFirstCopyAt = world.Context().Now();
-    plan.mLatestStop = plan.mFirstCopyAt + std::chrono::seconds(30);
-    plan.mMayStop = [] { return true; };
-    world.Context().mStreams.begin()->second->StartMove(std::move(plan));
+    world.StartMove("t2");
     const auto end = world.Reply(*caller, kEndOfStream);
     CPPUNIT_ASSERT(!Contains(end, kEndOfStream));
     CPPUNIT_ASSERT_EQUAL(std::size_t(2 + 1), leaving.Requests().size());
--- a/Tests/Entry/MovedRunTest.cxx
+++ b/Tests/Entry/MovedRunTest.cxx
@@ -1,5 +1,4 @@
 #include "Entry/RelayWorld.h"
-#include "Entry/StreamRun.h"
 
 #include <cppunit/extensions/HelperMacros.h>
 
@@ -55,13 +54,7 @@
     const auto caller = world.Call(RelayWorld::Request("long", "id1"));
     CPPUNIT_ASSERT(Contains(world.Reply(*caller, "id: 1\n"), "id: 1\n"));
     world.Context().mHealth.Succeeded("t3", Milliseconds(1));
-    const auto now = world.Context().Now();
-    StreamRun::MovePlan plan;
-    plan.mDestination = "t2";
-    plan.mFirstCopyAt = now;
-    plan.mLatestStop = now + std::chrono::seconds(30);
-    plan.mMayStop = [] { return true; };
-    world.Context().mStreams.begin()->second->StartMove(std::move(plan));
+    world.StartMove("t2");
     CPPUNIT_ASSERT(!Contains(world.Reply(*caller, kEndOfStream), kEndOfStream));
     CPPUNIT_ASSERT(other.Requests().empty());
   }
@@ -107,13 +100,7 @@
     world.Context().mHealth.Unreachable("t2", world.Context().Now());
     const auto caller = world.Call(RelayWorld::Request("long", "id1"));
     CPPUNIT_ASSERT(Contains(world.Reply(*caller, "id: 1\n"), "id: 1\n"));
-    const auto now = world.Context().Now();
-    StreamRun::MovePlan plan;
-    plan.mDestination = "t2";
-    plan.mFirstCopyAt = now;
-    plan.mLatestStop = now + std::chrono::seconds(30);
-    plan.mMayStop = [] { return true; };
-    world.Context().mStreams.begin()->second->StartMove(std::move(plan));
+    world.StartMove("t2");
     const auto reply = world.Reply(*caller, kEndOfStream);
     CPPUNIT_ASSERT(Contains(reply, "id: 2\n"));
     CPPUNIT_ASSERT(reply.ends_with(kEndOfStream));
--- a/Tests/Entry/RelayTest.cxx
+++ b/Tests/Entry/RelayTest.cxx
@@ -1,6 +1,5 @@
 #include "Entry/PlainRelay.h"
 #include "Entry/RelayWorld.h"
-#include "Entry/StreamRun.h"
 #include "Support/Section.h"
 
 #include <cppunit/extensions/HelperMacros.h>
@@ -396,13 +395,7 @@
       world.Context().Now());
     const auto caller = world.Call(RelayWorld::Request("long", "id1"));
     const auto begin = world.Reply(*caller, "id: 1\n");
-    const auto now = world.Context().Now();
-    StreamRun::MovePlan plan;
-    plan.mDestination = "t2";
-    plan.mFirstCopyAt = now;
-    plan.mLatestStop = now + std::chrono::seconds(30);
-    plan.mMayStop = [] { return true; };
-    world.Context().mStreams.begin()->second->StartMove(std::move(plan));
+    world.StartMove("t2");
     const auto end = world.Reply(*caller, kEndOfStream);
     CPPUNIT_ASSERT(end.ends_with(kEndOfStream));
     CPPUNIT_ASSERT_EQUAL(std::size_t(1), Count(begin + end, "id: 2\n"));
--- a/Tests/Entry/RelayWorld.cxx
+++ b/Tests/Entry/RelayWorld.cxx
@@ -1,5 +1,7 @@
 #include "Entry/RelayWorld.h"
 
+#include "Entry/StreamRun.h"
+
 #include <cppunit/TestAssert.h>
 #include <sys/mman.h>
 #include <unistd.h>
@@ -176,6 +178,18 @@
   close(mLogFile);
 }
 
+void
+RelayWorld::StartMove(const std::string& aTo)
+{
+  const auto now = mEntry->Now();
+  StreamRun::MovePlan plan;
+  plan.mDestination = aTo;
+  plan.mFirstCopyAt = now;
+  plan.mLatestStop = now + std::chrono::seconds(30);
+  plan.mMayStop = [] { return true; };
+  mEntry->mStreams.begin()->second->StartMove(std::move(plan));
+}
+
 std::string
 RelayWorld::Log() const
 {
--- a/Tests/Entry/RelayWorld.h
+++ b/Tests/Entry/RelayWorld.h
@@ -77,6 +77,9 @@
   /// Runs the event loop until aDone returns true; fails the test when that
   /// takes too long.
   void RunUntil(const std::function<bool()>& aDone);
+  /// Starts to move the only stream to the target aTo; its run may stop at any
+  /// time for the last copy.
+  void StartMove(const std::string& aTo);
   EntryContext& Context() { return *mEntry; }
   /// All log lines so far.
   std::string Log() const;
--- a/Tests/Entry/TargetNoticeTest.cxx
+++ b/Tests/Entry/TargetNoticeTest.cxx
@@ -1,5 +1,4 @@
 #include "Entry/RelayWorld.h"
-#include "Entry/StreamRun.h"
 #include "Support/Section.h"
 
 #include <cppunit/extensions/HelperMacros.h>
@@ -121,13 +120,7 @@
       Context().Now());
     const auto caller = Call(Request("long", "id1"));
     Reply(*caller, "id: 1\n");
-    const auto now = Context().Now();
-    StreamRun::MovePlan plan;
-    plan.mDestination = "t2";
-    plan.mFirstCopyAt = now;
-    plan.mLatestStop = now + std::chrono::seconds(30);
-    plan.mMayStop = [] { return true; };
-    Context().mStreams.begin()->second->StartMove(std::move(plan));
+    StartMove("t2");
     return Reply(*caller, kEndOfStream);
   }
 
--- a/Tests/Entry/UnmarkedAnswersTest.cxx
+++ b/Tests/Entry/UnmarkedAnswersTest.cxx
@@ -1,5 +1,4 @@
 #include "Entry/RelayWorld.h"
-#include "Entry/StreamRun.h"
 #include "Support/Section.h"
 
 #include <cppunit/extensions/HelperMacros.h>
@@ -161,13 +160,7 @@
       world.Context().mHealth.Unreachable("t2", world.Context().Now());
       const auto caller = world.Call(RelayWorld::Request("long", "id1"));
       auto reply = world.Reply(*caller, "id: 1\n");
-      const auto now = world.Context().Now();
-      StreamRun::MovePlan plan;
-      plan.mDestination = "t2";
-      plan.mFirstCopyAt = now;
-      plan.mLatestStop = now + std::chrono::seconds(30);
-      plan.mMayStop = [] { return true; };
-      world.Context().mStreams.begin()->second->StartMove(std::move(plan));
+      world.StartMove("t2");
       // The end may arrive alone.
       reply += world.Reply(*caller, "0\r\n\r\n");
       return reply + std::to_string(destination.Requests().size());
@@ -222,13 +215,7 @@
     const auto caller = world.Call(RelayWorld::Request("short", "id1"));
     auto reply = world.Reply(*caller, "id: 1\n");
     world.Context().mHealth.Succeeded("t2", Milliseconds(1));
-    const auto now = world.Context().Now();
-    StreamRun::MovePlan plan;
-    plan.mDestination = "t2";
-    plan.mFirstCopyAt = now;
-    plan.mLatestStop = now + std::chrono::seconds(30);
-    plan.mMayStop = [] { return true; };
-    world.Context().mStreams.begin()->second->StartMove(std::move(plan));
+    world.StartMove("t2");
     reply += world.Reply(*caller, kEndOfStream);
     Section("the engine that takes the stream over completes it", [&] {
       CPPUNIT_ASSERT(Contains(reply, "id: 3\n"));
