--- a/Tests/Filters/RouterOperationTest.cxx
+++ b/Tests/Filters/RouterOperationTest.cxx
@@ -53,7 +53,7 @@
 
 /// Stops aRouter without a drain as soon as aIsDue.
 std::unique_ptr<QTimer>
-StopWhen(Router& aRouter, std::function<bool()> aIsDue)
+StopWhen(Router& aRouter, const std::function<bool()>& aIsDue)
 {
   auto timer = std::make_unique<QTimer>();
   QObject::connect(
