Platform: Follow the host list beside an entry that cannot be read

What operators of similar systems saw: another writer left one odd entry in the list of hosts (nested deeply, a number too large, a port out of range), and the hosts that read the list stopped following it.

Cause: the list was parsed as one document, and each error refused all of it. A port out of range was not an error at all.

Ruled out: skipping odd entries only. The host that such an entry is about would then leave the fleet, which is what the old rule prevented.

Change: the array is split before anything is parsed, each entry is read alone, and an odd one names no host. A host that was listed and whose entry turns odd stays as it was last listed. A list without a usable entry is refused as before.

Tests: TestOddEntryOfAnotherWriter and TestFollowsListBesideOddEntry failed on ("no failure domain": the list was refused; no change was followed) and pass now. The assertions of TestParse that demanded the refusal of the whole list stated the fault; the same five labels and the repeated id are now asserted to name no host while the other hosts hold.

--- a/Source/Core/Settings.cxx
+++ b/Source/Core/Settings.cxx
@@ -4,7 +4,6 @@
 #include <QHostAddress>
 #include <algorithm>
 #include <charconv>
-#include <optional>
 #include <sstream>
 
 namespace ragwortdeck {
@@ -44,29 +43,6 @@
   return text;
 }
 
-std::optional<Endpoint>
-ParseEndpoint(const std::string& aText)
-{
-  const auto colon = aText.rfind(':');
-  if (colon == std::string::npos) {
-    return std::nullopt;
-  }
-  auto host = aText.substr(0, colon);
-  if (host.size() > 2 && host.front() == '[' && host.back() == ']') {
-    host = host.substr(1, host.size() - 2);
-  }
-  std::uint16_t port = 0;
-  const char* end = aText.data() + aText.size();
-  const auto parsed = std::from_chars(aText.data() + colon + 1, end, port);
-  if (parsed.ec != std::errc{} || parsed.ptr != end) {
-    return std::nullopt;
-  }
-  if (QHostAddress(QString::fromStdString(host)).isNull()) {
-    return std::nullopt;
-  }
-  return Endpoint{ host, port };
-}
-
 } // namespace
 
 std::string
@@ -90,6 +66,29 @@
   return host + ":" + std::to_string(aEndpoint.mPort);
 }
 
+std::optional<Endpoint>
+ParseEndpoint(const std::string& aText)
+{
+  const auto colon = aText.rfind(':');
+  if (colon == std::string::npos) {
+    return std::nullopt;
+  }
+  auto host = aText.substr(0, colon);
+  if (host.size() > 2 && host.front() == '[' && host.back() == ']') {
+    host = host.substr(1, host.size() - 2);
+  }
+  std::uint16_t port = 0;
+  const char* end = aText.data() + aText.size();
+  const auto parsed = std::from_chars(aText.data() + colon + 1, end, port);
+  if (parsed.ec != std::errc{} || parsed.ptr != end) {
+    return std::nullopt;
+  }
+  if (QHostAddress(QString::fromStdString(host)).isNull()) {
+    return std::nullopt;
+  }
+  return Endpoint{ host, port };
+}
+
 SettingsSection::SettingsSection(
   const YAML::Node& aNode,
   std::string aFile,
--- a/Source/Core/Settings.h
+++ b/Source/Core/Settings.h
@@ -4,6 +4,7 @@
 
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 #include <yaml-cpp/yaml.h>
@@ -42,6 +43,11 @@
 std::string
 ToText(const Endpoint& aEndpoint);
 
+/// Reads what ToText() writes; nothing if the address is not numeric or the
+/// port is not within 0 to 65535.
+std::optional<Endpoint>
+ParseEndpoint(const std::string& aText);
+
 /// \brief One mapping of a settings file.
 ///
 /// Each reader returns the value, or the fallback after it has recorded an
--- a/Source/Platform/HostListClient.cxx
+++ b/Source/Platform/HostListClient.cxx
@@ -7,8 +7,11 @@
 #include <QJsonObject>
 #include <QNetworkProxy>
 #include <QNetworkReply>
+#include <algorithm>
+#include <iterator>
 #include <map>
 #include <set>
+#include <utility>
 
 namespace ragwortdeck {
 
@@ -18,6 +21,8 @@
 
 // Longest accepted list; 5,100 hosts at 250 bytes are 1.3 MB.
 constexpr qint64 kMaxListBytes = 16 << 20;
+// Bound of what an odd entry adds to a log line.
+constexpr std::size_t kMaxReasonBytes = 200;
 // Part of the poll interval by which polls vary, so that hosts that started
 // together do not poll together.
 constexpr double kJitter = 0.2;
@@ -84,8 +89,8 @@
   return host;
 }
 
-Result<void>
-ParseGroup(const QJsonObject& aGroup, HostList& aList)
+Result<std::vector<ListedHost>>
+ParseGroup(const QJsonObject& aGroup)
 {
   static const std::map<std::string, ListedRole> sRoles = {
     { "router", ListedRole::kRouter },
@@ -98,9 +103,10 @@
   if (!role) {
     return Failure(role.error());
   }
+  std::vector<ListedHost> hosts;
   const auto known = sRoles.find(role.value());
   if (known == sRoles.end()) {
-    return Success();
+    return hosts;
   }
   auto host = ParseLabels(labels, known->second);
   if (!host) {
@@ -112,7 +118,8 @@
   const bool single = targets.toArray().size() == 1;
   for (const auto& target : targets.toArray()) {
     const auto address = target.toString().toStdString();
-    if (address.find(':') == std::string::npos) {
+    const auto endpoint = ParseEndpoint(address);
+    if (!endpoint || endpoint->mPort == 0) {
       return Failure(ErrorCode::kCorrupt,
                      "targets: expected <IP address>:<port>, found '" +
                        address + "'");
@@ -125,9 +132,107 @@
     auto entry = host.value();
     entry.mId = id.value();
     entry.mAddress = address;
-    aList.mHosts.push_back(std::move(entry));
+    hosts.push_back(std::move(entry));
+  }
+  return hosts;
+}
+
+/// The ids that a malformed group seems to be about.
+std::vector<std::string>
+IdsOf(const QJsonObject& aGroup)
+{
+  const auto labels = aGroup.value(QLatin1String("labels")).toObject();
+  if (auto id = Label(labels, "host", nullptr)) {
+    return { std::move(id.value()) };
+  }
+  std::vector<std::string> ids;
+  for (const auto& target : aGroup.value(QLatin1String("targets")).toArray()) {
+    if (target.isString()) {
+      ids.push_back(target.toString().toStdString());
+    }
+  }
+  return ids;
+}
+
+/// The texts of the elements of a JSON array; nothing if aJson is none. The
+/// elements are not checked, so that one that no parser takes spoils no other.
+std::optional<std::vector<QByteArray>>
+SplitArray(const QByteArray& aJson)
+{
+  const auto text = aJson.trimmed();
+  if (text.size() < 2 || text.front() != '[' || text.back() != ']') {
+    return std::nullopt;
+  }
+  std::vector<QByteArray> elements;
+  qsizetype begin = 1;
+  qsizetype depth = 0;
+  bool inString = false;
+  for (qsizetype i = 1; i < text.size() - 1; ++i) {
+    const char c = text[i];
+    if (inString) {
+      i += c == '\\' ? 1 : 0;
+      inString = c != '"';
+    } else if (c == '"') {
+      inString = true;
+    } else if (c == '[' || c == '{') {
+      ++depth;
+    } else if (c == ']' || c == '}') {
+      --depth;
+    } else if (c == ',' && depth == 0) {
+      elements.push_back(text.mid(begin, i - begin));
+      begin = i + 1;
+    }
+    if (depth < 0) {
+      return std::nullopt;
+    }
+  }
+  if (depth != 0 || inString) {
+    return std::nullopt;
+  }
+  auto last = text.mid(begin, text.size() - 1 - begin);
+  if (!elements.empty() || !last.trimmed().isEmpty()) {
+    elements.push_back(std::move(last));
+  }
+  return elements;
+}
+
+/// Adds what one element of the array says to aList.
+void
+AddElement(const QByteArray& aElement, HostList& aList)
+{
+  QJsonParseError problem;
+  const auto document = QJsonDocument::fromJson(aElement, &problem);
+  if (!document.isObject()) {
+    aList.mOddEntries.push_back(
+      { {}, "expected an object: " + problem.errorString().toStdString() });
+    return;
+  }
+  auto hosts = ParseGroup(document.object());
+  if (!hosts) {
+    aList.mOddEntries.push_back(
+      { IdsOf(document.object()), hosts.error().mMessage });
+    return;
+  }
+  std::move(hosts.value().begin(),
+            hosts.value().end(),
+            std::back_inserter(aList.mHosts));
+}
+
+/// Which of several entries with one id is right cannot be told.
+void
+DropRepeatedIds(HostList& aList)
+{
+  std::map<std::string, std::size_t> counts;
+  for (const auto& host : aList.mHosts) {
+    ++counts[host.mId];
+  }
+  std::erase_if(aList.mHosts,
+                [&](const ListedHost& aHost) { return counts[aHost.mId] > 1; });
+  for (const auto& [id, count] : counts) {
+    if (count > 1) {
+      aList.mOddEntries.push_back({ { id }, "host " + id + " repeats" });
+    }
   }
-  return Success();
 }
 
 } // namespace
@@ -135,26 +240,15 @@
 Result<HostList>
 ParseHostList(const QByteArray& aJson)
 {
-  QJsonParseError problem;
-  const auto document = QJsonDocument::fromJson(aJson, &problem);
-  if (!document.isArray()) {
-    return Failure(ErrorCode::kCorrupt,
-                   "expected a JSON array: " +
-                     problem.errorString().toStdString());
+  const auto elements = SplitArray(aJson);
+  if (!elements) {
+    return Failure(ErrorCode::kCorrupt, "expected a JSON array");
   }
   HostList list;
-  for (const auto& group : document.array()) {
-    const auto parsed = ParseGroup(group.toObject(), list);
-    if (!parsed) {
-      return Failure(parsed.error());
-    }
-  }
-  std::set<std::string> ids;
-  for (const auto& host : list.mHosts) {
-    if (!ids.insert(host.mId).second) {
-      return Failure(ErrorCode::kCorrupt, "host " + host.mId + " repeats");
-    }
+  for (const auto& element : *elements) {
+    AddElement(element, list);
   }
+  DropRepeatedIds(list);
   return list;
 }
 
@@ -251,7 +345,7 @@
 }
 
 void
-HostListClient::Finish(const Result<HostList>& aResult)
+HostListClient::Finish(Result<HostList> aResult)
 {
   mReply->deleteLater();
   mReply.clear();
@@ -261,16 +355,55 @@
     kLog.Warning("host list: " + aResult.error().mMessage);
     return;
   }
-  if (aResult.value().mHosts.empty()) {
+  auto& list = aResult.value();
+  if (list.mHosts.empty()) {
     ++mFailedPolls;
-    kLog.Warning("host list: the list is empty; the last one stays in force");
+    kLog.Warning("host list: no usable entry; the last list stays in force");
     return;
   }
   mReceived = mScheduler.Now();
-  if (mLast != aResult.value()) {
-    mLast = aResult.value();
+  KeepHostsOfOddEntries(list);
+  TakeOddEntries(std::exchange(list.mOddEntries, {}));
+  if (mLast != list) {
+    mLast = std::move(list);
     mOnList(*mLast);
   }
 }
 
+void
+HostListClient::KeepHostsOfOddEntries(HostList& aList) const
+{
+  if (!mLast || aList.mOddEntries.empty()) {
+    return;
+  }
+  std::set<std::string> odd;
+  for (const auto& entry : aList.mOddEntries) {
+    odd.insert(entry.mIds.begin(), entry.mIds.end());
+  }
+  for (const auto& host : aList.mHosts) {
+    odd.erase(host.mId);
+  }
+  std::copy_if(
+    mLast->mHosts.begin(),
+    mLast->mHosts.end(),
+    std::back_inserter(aList.mHosts),
+    [&](const ListedHost& aHost) { return odd.contains(aHost.mId); });
+}
+
+void
+HostListClient::TakeOddEntries(std::vector<OddEntry> aEntries)
+{
+  if (aEntries == mOddEntries) {
+    return;
+  }
+  mOddEntries = std::move(aEntries);
+  if (mOddEntries.empty()) {
+    kLog.Info("host list: all entries are usable again");
+    return;
+  }
+  kLog.Warning("host list: " + std::to_string(mOddEntries.size()) +
+               " entries are ignored, the first one: " +
+               mOddEntries.front().mReason.substr(0, kMaxReasonBytes));
+}
+
 } // namespace ragwortdeck
--- a/Source/Platform/HostListClient.h
+++ b/Source/Platform/HostListClient.h
@@ -41,10 +41,21 @@
   bool operator==(const ListedHost&) const = default;
 };
 
+/// \brief An entry that names no host.
+struct OddEntry
+{
+  /// The ids that it seems to be about, if any can be read.
+  std::vector<std::string> mIds;
+  std::string mReason;
+
+  bool operator==(const OddEntry&) const = default;
+};
+
 /// \brief The hosts of one answer, in the order of the list.
 struct HostList
 {
   std::vector<ListedHost> mHosts;
+  std::vector<OddEntry> mOddEntries;
 
   bool operator==(const HostList&) const = default;
 };
@@ -55,8 +66,8 @@
 /// "checks_fencing" ("true", "false"; default "false"), "model" (names, with
 /// commas between them; default none). A group with several
 /// targets has no "host" label; its ids are the addresses. Entries of other
-/// roles are skipped. A malformed entry refuses the whole list, because a list
-/// without that host would show it as gone.
+/// roles are skipped. A malformed entry is odd, and so are all entries of an id
+/// that repeats; the others hold. Only what is no array refuses the whole list.
 Result<HostList>
 ParseHostList(const QByteArray& aJson);
 
@@ -73,8 +84,10 @@
 
 /// \brief Polls the host list and keeps the last good one.
 ///
-/// An empty list, a malformed one and a failed poll leave the last list in
-/// force; its age tells how long. Needs the event loop of its thread.
+/// A list without a usable entry, a malformed one and a failed poll leave the
+/// last list in force; its age tells how long. A host whose entry turns odd
+/// stays as it was last listed, because a list without it would show it as
+/// gone. Needs the event loop of its thread.
 class HostListClient
 {
 public:
@@ -94,12 +107,18 @@
   /// Time since the last good answer; nothing before the first.
   std::optional<Duration> Age() const;
   std::uint64_t FailedPolls() const { return mFailedPolls; }
+  /// Odd entries of the last good answer.
+  std::size_t OddEntries() const { return mOddEntries.size(); }
 
 private:
   void Poll();
   void ScheduleNext();
   void OnFinished();
-  void Finish(const Result<HostList>& aResult);
+  void Finish(Result<HostList> aResult);
+  /// Adds the hosts that an odd entry is about as they were last listed.
+  void KeepHostsOfOddEntries(HostList& aList) const;
+  /// Logs odd entries when they change.
+  void TakeOddEntries(std::vector<OddEntry> aEntries);
 
   Scheduler& mScheduler;
   RandomSource mRandom;
@@ -110,6 +129,7 @@
   TimerHandle mNext;
   TimerHandle mDeadline;
   std::optional<HostList> mLast;
+  std::vector<OddEntry> mOddEntries;
   MonotonicTime mReceived;
   std::uint64_t mFailedPolls = 0;
 };
--- a/Tests/Platform/HostListClientTest.cxx
+++ b/Tests/Platform/HostListClientTest.cxx
@@ -29,7 +29,9 @@
 {
   CPPUNIT_TEST_SUITE(HostListClientTest);
   CPPUNIT_TEST(TestParse);
+  CPPUNIT_TEST(TestOddEntryOfAnotherWriter);
   CPPUNIT_TEST(TestKeepsLastGoodList);
+  CPPUNIT_TEST(TestFollowsListBesideOddEntry);
   CPPUNIT_TEST(TestFuzzedLists);
   CPPUNIT_TEST(TestWeightStandInLimitsItsRate);
   CPPUNIT_TEST_SUITE_END();
@@ -47,30 +49,76 @@
                              true,
                              { ModelName("drafts"), ModelName("checks") } };
     CPPUNIT_ASSERT(list.mHosts[1] == engine);
-    const auto refuses = [](const char* aLabels) {
-      const auto json =
-        std::string(R"([{"targets":["127.0.0.1:1"],"labels":)") + aLabels +
-        "}]";
-      return !ParseHostList(QByteArray::fromStdString(json));
-    };
-    for (const auto* labels :
-         { R"({"role":"engine"})",
-           R"({"failure_domain":"nadia"})",
-           R"({"role":"engine","failure_domain":"n","state":"gone"})",
-           R"({"role":"engine","failure_domain":"n","host":""})",
-           R"({"role":"engine","failure_domain":7})" }) {
-      Section(labels, [&] { CPPUNIT_ASSERT(refuses(labels)); });
-    }
     Section("entries of other roles are skipped", [] {
       CPPUNIT_ASSERT(
         ParseHostList(R"([{"targets":["x"],"labels":{"role":"printer"}}])")
           .value()
           .mHosts.empty());
     });
-    Section("an id that repeats is refused", [] {
-      CPPUNIT_ASSERT(!ParseHostList(
-        R"([{"targets":["127.0.0.1:1","127.0.0.1:1"],"labels":{"role":"engine",)"
-        R"("failure_domain":"n"}}])"));
+    Section("what is no array is refused as a whole", [] {
+      for (const auto* text :
+           { "", "{}", "[", "[{]", R"(["])", "[}{]", "[]]", "7" }) {
+        Section(text, [&] { CPPUNIT_ASSERT(!ParseHostList(text)); });
+      }
+    });
+    Section("an array may be empty", [] {
+      CPPUNIT_ASSERT(ParseHostList(" [ ] ").value() == HostList{});
+    });
+  }
+
+  void TestOddEntryOfAnotherWriter()
+  {
+    const auto expected = ParseHostList(kTwoHosts).value().mHosts;
+    const auto beside = [](const std::string& aEntry) {
+      return QByteArray(kTwoHosts).chopped(1) + "," +
+             QByteArray::fromStdString(aEntry) + "]";
+    };
+    const auto labelled = [](const std::string& aLabels) {
+      return R"({"targets":["127.0.0.1:1"],"labels":)" + aLabels + "}";
+    };
+    const auto addressed = [](const std::string& aAddress) {
+      return R"({"targets":[)" + aAddress +
+             R"(],"labels":{"role":"engine","failure_domain":"n"}})";
+    };
+    const std::string opening(100'000, '[');
+    const auto deep = opening + std::string(opening.size(), ']');
+    const std::vector<std::pair<const char*, std::string>> entries{
+      { "no failure domain", labelled(R"({"role":"engine"})") },
+      { "no role", labelled(R"({"failure_domain":"nadia"})") },
+      { "an unknown state",
+        labelled(R"({"role":"engine","failure_domain":"n","state":"gone"})") },
+      { "an empty id",
+        labelled(R"({"role":"engine","failure_domain":"n","host":""})") },
+      { "a number for a text",
+        labelled(R"({"role":"engine","failure_domain":7})") },
+      { "no address", addressed(R"("x")") },
+      { "a port out of range", addressed(R"("127.0.0.1:65536")") },
+      { "port 0", addressed(R"("127.0.0.1:0")") },
+      { "a negative port", addressed(R"("127.0.0.1:-1")") },
+      { "a name instead of an address", addressed(R"("engine-9:80")") },
+      { "one address twice", addressed(R"("127.0.0.1:1","127.0.0.1:1")") },
+      { "a number too large", R"({"targets":1e999999,"labels":{}})" },
+      { "very deeply nested", deep },
+      { "very deeply nested labels", R"({"labels":)" + deep + "}" },
+      { "no JSON", "{targets}" },
+      { "nothing", "" },
+    };
+    for (const auto& entry : entries) {
+      Section(entry.first, [&] {
+        const auto list = ParseHostList(beside(entry.second));
+        CPPUNIT_ASSERT(list.has_value());
+        CPPUNIT_ASSERT(list.value().mHosts == expected);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), list.value().mOddEntries.size());
+      });
+    }
+    Section("an id of which two entries differ names no host", [&] {
+      const auto list = ParseHostList(beside(labelled(
+        R"({"role":"engine","failure_domain":"n","host":"engine-1"})")));
+      CPPUNIT_ASSERT(list.has_value());
+      CPPUNIT_ASSERT_EQUAL(std::size_t(1), list.value().mHosts.size());
+      CPPUNIT_ASSERT_EQUAL(std::string("entry-1"), list.value().mHosts[0].mId);
+      CPPUNIT_ASSERT(list.value().mOddEntries[0].mIds ==
+                     std::vector<std::string>{ "engine-1" });
     });
   }
 
@@ -121,6 +169,49 @@
     });
   }
 
+  void TestFollowsListBesideOddEntry()
+  {
+    VirtualScheduler scheduler;
+    HostListService service(scheduler);
+    service.SetList(kTwoHosts);
+    scheduler.Advance(0s);
+    HostListSettings settings;
+    settings.mUrl = QUrl(QString("http://127.0.0.1:%1/hosts")
+                           .arg(service.listen(QHostAddress::LocalHost)));
+    int changes = 0;
+    HostListClient client(scheduler,
+                          RandomSource(1),
+                          settings,
+                          [&](const HostList&) { ++changes; });
+    RunEventLoopUntil([&] { return changes == 1; });
+    const auto engine = client.Last()->mHosts[1];
+    const std::string newcomer =
+      R"({"targets":["127.0.0.1:7002"],"labels":{"host":"entry-2",)"
+      R"("role":"router","failure_domain":"nadia"}})";
+    Section("a newcomer is found, and the host of the odd entry stays", [&] {
+      service.SetList(QByteArray::fromStdString(
+        "[" + newcomer +
+        R"(,{"targets":["127.0.0.1:99999"],"labels":{"host":"engine-1",)"
+        R"("role":"engine","failure_domain":"hooghly"}}])"));
+      scheduler.Advance(2500ms);
+      RunEventLoopUntil(
+        [&] { return changes == 2 || client.FailedPolls() > 0; });
+      CPPUNIT_ASSERT_EQUAL(std::uint64_t(0), client.FailedPolls());
+      const auto& hosts = client.Last()->mHosts;
+      CPPUNIT_ASSERT_EQUAL(std::size_t(2), hosts.size());
+      CPPUNIT_ASSERT_EQUAL(std::string("entry-2"), hosts[0].mId);
+      CPPUNIT_ASSERT(hosts[1] == engine);
+      CPPUNIT_ASSERT_EQUAL(std::size_t(1), client.OddEntries());
+    });
+    Section("a host goes when no entry names it any more", [&] {
+      service.SetList(QByteArray::fromStdString("[" + newcomer + "]"));
+      scheduler.Advance(2500ms);
+      RunEventLoopUntil([&] { return changes == 3; });
+      CPPUNIT_ASSERT_EQUAL(std::size_t(1), client.Last()->mHosts.size());
+      CPPUNIT_ASSERT_EQUAL(std::size_t(0), client.OddEntries());
+    });
+  }
+
   void TestFuzzedLists()
   {
     RandomSource random(77);
