--- a/Tests/Platform/HostListClientTest.cxx
+++ b/Tests/Platform/HostListClientTest.cxx
@@ -8,6 +8,7 @@
 
 #include <QNetworkReply>
 #include <cppunit/extensions/HelperMacros.h>
+#include <optional>
 
 namespace ragwortdeck {
 
@@ -21,6 +22,29 @@
   R"("host":"engine-1","role":"engine","failure_domain":"hooghly",)"
   R"("state":"leaving","checks_fencing":"true","model":"drafts, checks"}}])";
 
+/// \brief A client that has read a list of two hosts.
+struct PolledList
+{
+  VirtualScheduler mScheduler;
+  HostListService mService{ mScheduler };
+  int mChanges = 0;
+  std::optional<HostListClient> mClient;
+
+  PolledList()
+  {
+    mService.SetList(kTwoHosts);
+    mScheduler.Advance(0s);
+    HostListSettings settings;
+    settings.mUrl = QUrl(QString("http://127.0.0.1:%1/hosts")
+                           .arg(mService.listen(QHostAddress::LocalHost)));
+    mClient.emplace(mScheduler,
+                    RandomSource(1),
+                    settings,
+                    [this](const HostList&) { ++mChanges; });
+    RunEventLoopUntil([this] { return mChanges == 1; });
+  }
+};
+
 } // namespace
 
 /// \brief The host list client keeps the last good list through every kind of
@@ -124,91 +148,68 @@
 
   void TestKeepsLastGoodList()
   {
-    VirtualScheduler scheduler;
-    HostListService service(scheduler);
-    service.SetList(kTwoHosts);
-    scheduler.Advance(0s);
-    HostListSettings settings;
-    settings.mUrl = QUrl(QString("http://127.0.0.1:%1/hosts")
-                           .arg(service.listen(QHostAddress::LocalHost)));
-    int changes = 0;
-    HostListClient client(scheduler,
-                          RandomSource(1),
-                          settings,
-                          [&](const HostList&) { ++changes; });
-    RunEventLoopUntil([&] { return changes == 1; });
+    PolledList list;
     std::uint64_t failed = 0;
     const auto expectKept = [&] {
-      scheduler.Advance(2500ms);
+      list.mScheduler.Advance(2500ms);
       ++failed;
-      RunEventLoopUntil([&] { return client.FailedPolls() == failed; });
-      CPPUNIT_ASSERT_EQUAL(std::size_t(2), client.Last()->mHosts.size());
+      RunEventLoopUntil([&] { return list.mClient->FailedPolls() == failed; });
+      CPPUNIT_ASSERT_EQUAL(std::size_t(2), list.mClient->Last()->mHosts.size());
     };
     Section("while the service is down", [&] {
-      service.mDown = true;
+      list.mService.mDown = true;
       expectKept();
-      service.mDown = false;
+      list.mService.mDown = false;
     });
     for (const auto* bad : { "[]", "{", R"([{"targets":["x"]}])" }) {
       Section(bad, [&] {
-        service.SetList(bad);
+        list.mService.SetList(bad);
         expectKept();
       });
     }
-    Section("its age is that of the last good answer",
-            [&] { CPPUNIT_ASSERT(client.Age() == Duration(4 * 2500ms)); });
+    Section("its age is that of the last good answer", [&] {
+      CPPUNIT_ASSERT(list.mClient->Age() == Duration(4 * 2500ms));
+    });
     Section("a change shows after the lag of the list", [&] {
-      service.mLag = 3s;
-      service.SetList(
+      list.mService.mLag = 3s;
+      list.mService.SetList(
         R"([{"targets":["127.0.0.1:1"],"labels":{"role":"engine",)"
         R"("failure_domain":"n"}}])");
       expectKept();
-      scheduler.Advance(2500ms);
-      RunEventLoopUntil([&] { return changes == 2; });
-      CPPUNIT_ASSERT(client.Age() == Duration::zero());
+      list.mScheduler.Advance(2500ms);
+      RunEventLoopUntil([&] { return list.mChanges == 2; });
+      CPPUNIT_ASSERT(list.mClient->Age() == Duration::zero());
     });
   }
 
   void TestFollowsListBesideOddEntry()
   {
-    VirtualScheduler scheduler;
-    HostListService service(scheduler);
-    service.SetList(kTwoHosts);
-    scheduler.Advance(0s);
-    HostListSettings settings;
-    settings.mUrl = QUrl(QString("http://127.0.0.1:%1/hosts")
-                           .arg(service.listen(QHostAddress::LocalHost)));
-    int changes = 0;
-    HostListClient client(scheduler,
-                          RandomSource(1),
-                          settings,
-                          [&](const HostList&) { ++changes; });
-    RunEventLoopUntil([&] { return changes == 1; });
-    const auto engine = client.Last()->mHosts[1];
+    PolledList list;
+    const auto engine = list.mClient->Last()->mHosts[1];
     const std::string newcomer =
       R"({"targets":["127.0.0.1:7002"],"labels":{"host":"entry-2",)"
       R"("role":"router","failure_domain":"nadia"}})";
     Section("a newcomer is found, and the host of the odd entry stays", [&] {
-      service.SetList(QByteArray::fromStdString(
+      list.mService.SetList(QByteArray::fromStdString(
         "[" + newcomer +
         R"(,{"targets":["127.0.0.1:99999"],"labels":{"host":"engine-1",)"
         R"("role":"engine","failure_domain":"hooghly"}}])"));
-      scheduler.Advance(2500ms);
+      list.mScheduler.Advance(2500ms);
       RunEventLoopUntil(
-        [&] { return changes == 2 || client.FailedPolls() > 0; });
-      CPPUNIT_ASSERT_EQUAL(std::uint64_t(0), client.FailedPolls());
-      const auto& hosts = client.Last()->mHosts;
+        [&] { return list.mChanges == 2 || list.mClient->FailedPolls() > 0; });
+      CPPUNIT_ASSERT_EQUAL(std::uint64_t(0), list.mClient->FailedPolls());
+      const auto& hosts = list.mClient->Last()->mHosts;
       CPPUNIT_ASSERT_EQUAL(std::size_t(2), hosts.size());
       CPPUNIT_ASSERT_EQUAL(std::string("entry-2"), hosts[0].mId);
       CPPUNIT_ASSERT(hosts[1] == engine);
-      CPPUNIT_ASSERT_EQUAL(std::size_t(1), client.OddEntries());
+      CPPUNIT_ASSERT_EQUAL(std::size_t(1), list.mClient->OddEntries());
     });
     Section("a host goes when no entry names it any more", [&] {
-      service.SetList(QByteArray::fromStdString("[" + newcomer + "]"));
-      scheduler.Advance(2500ms);
-      RunEventLoopUntil([&] { return changes == 3; });
-      CPPUNIT_ASSERT_EQUAL(std::size_t(1), client.Last()->mHosts.size());
-      CPPUNIT_ASSERT_EQUAL(std::size_t(0), client.OddEntries());
+      list.mService.SetList(QByteArray::fromStdString("[" + newcomer + "]"));
+      list.mScheduler.Advance(2500ms);
+      RunEventLoopUntil([&] { return list.mChanges == 3; });
+      CPPUNIT_ASSERT_EQUAL(std::size_t(1), list.mClient->Last()->mHosts.size());
+      CPPUNIT_ASSERT_EQUAL(std::size_t(0), list.mClient->OddEntries());
     });
   }
 
