Serving: Test a part soon that had answers before its first crash

What callers saw, in a test that replays the load: all engines of a service crash one after the other within seconds, for a reason that has nothing to do with the prompts. They are back after 4 s, but every prompt of the kind begins with the same part, and all hosts refused all requests of the kind for a minute and more.

Cause: the quarantine weighs only what happened since the first crash. No engine was left to write an answer, so a part that all prompts share looked the same as a deadly one.

Ruled out: a short hold for every part. Each test of a part that is deadly ends one more engine, with all streams on it. Counting crashes without the part: in such an outage the requests that had just begun nearly all have it.

Change: what came before is weighed as well. A part with which engines wrote answers before its first crash is held for 3 s at first, then 12, 48 and 60 s, and the number of hosts that may test it doubles every 2 s. Parts that never had an answer are held as before. Hosts differ in which answers they saw, so the fact travels with the quarantine (one field at the end of QuarantinedPart; the shorter form of older hosts is read) and any host that knows it prevails.

TestPartThatTurnsDeadly holds the other side: at most three sends later than 3 s after the fifth crash. TestHostsThatNeverSawTheAnswers, TestReportOfAnOlderHost. The fleet of the tests counts a request as not sent when all its engines are down, where it looped.

--- a/Source/Serving/CrashReport.h
+++ b/Source/Serving/CrashReport.h
@@ -42,8 +42,15 @@
   /// Time from the last crash to the test.
   std::int64_t mHoldMs = 0;
   std::int64_t mCrashes = 0;
+  /// Engines had written answers with it before.
+  bool mWasSound = false;
 
-  MSGPACK_DEFINE_ARRAY(mPart, mAgeMs, mRemainingMs, mHoldMs, mCrashes)
+  MSGPACK_DEFINE_ARRAY(mPart,
+                       mAgeMs,
+                       mRemainingMs,
+                       mHoldMs,
+                       mCrashes,
+                       mWasSound)
   bool operator==(const QuarantinedPart&) const = default;
 };
 
--- a/Source/Serving/PromptQuarantine.cxx
+++ b/Source/Serving/PromptQuarantine.cxx
@@ -38,6 +38,22 @@
 
 } // namespace
 
+Duration
+PromptQuarantine::Quarantine::NextHold() const
+{
+  return mHold < kHold ? std::min(mHold * kHoldGrowthOfSound, kHold)
+                       : std::min(mHold * 2, kLongestHold);
+}
+
+void
+PromptQuarantine::Quarantine::LearnThatItWasSound()
+{
+  mUntil = LastCrash() + kFirstHoldOfSound;
+  mHold = kFirstHoldOfSound;
+  mWasSound = true;
+  mTestedAt.reset();
+}
+
 void
 PromptQuarantine::OnCrash(const std::string& aEngine,
                           const Parts& aParts,
@@ -128,7 +144,8 @@
           AgeMs(held.mFirstAt, aNow),
           std::chrono::duration_cast<milliseconds>(held.mUntil - aNow).count(),
           std::chrono::duration_cast<milliseconds>(held.mHold).count(),
-          held.mCrashes });
+          held.mCrashes,
+          held.mWasSound });
     }
   }
   return report;
@@ -180,7 +197,7 @@
   }
   auto& held = it->second;
   if (aCrash.mAt >= held.mUntil) {
-    held.mHold = std::min(held.mHold * 2, kLongestHold);
+    held.mHold = held.NextHold();
     ++held.mCrashes;
     mChanges.push_back(ChangeOf(aPart, held));
   } else {
@@ -224,12 +241,11 @@
   const auto known = mQuarantined.find(aPart.mPart);
   const bool isKnown = known != mQuarantined.end();
   const auto crashes = std::min(aPart.mCrashes, kMaxReportedCount);
-  const auto hold = std::max(Bounded(aPart.mHoldMs, kLongestHold), kHold);
+  const auto hold = std::max(Bounded(aPart.mHoldMs, kLongestHold),
+                             aPart.mWasSound ? kFirstHoldOfSound : kHold);
   // Otherwise hosts could keep a quarantine alive by telling each other.
   const auto remaining = Bounded(aPart.mRemainingMs, hold, -kForgetQuarantine);
-  if (crashes <= 0 || remaining <= -kReportQuarantine ||
-      (isKnown && std::pair(crashes, hold) <=
-                    std::pair(known->second.mCrashes, known->second.mHold))) {
+  if (crashes <= 0 || remaining <= -kReportQuarantine) {
     return;
   }
   Quarantine held;
@@ -238,6 +254,18 @@
   held.mHold = hold;
   held.mUntil = aNow + remaining;
   held.mCrashes = crashes;
+  held.mWasSound = aPart.mWasSound;
+  if (isKnown && held.mWasSound && !known->second.mWasSound) {
+    known->second.LearnThatItWasSound();
+    mChanges.push_back(ChangeOf(aPart.mPart, known->second));
+  } else if (!held.mWasSound &&
+             (isKnown ? known->second.mWasSound : WasSound(aPart.mPart))) {
+    held.LearnThatItWasSound();
+  }
+  if (isKnown && std::pair(held.mCrashes, held.mHold) <=
+                   std::pair(known->second.mCrashes, known->second.mHold)) {
+    return;
+  }
   const auto sound = mSound.find(aPart.mPart);
   if (sound != mSound.end() && sound->second.mBegan > held.mFirstAt) {
     TellIfSuspected(aPart.mPart, aNow);
@@ -245,6 +273,7 @@
   }
   if (isKnown) {
     held.mFirstAt = std::min(held.mFirstAt, known->second.mFirstAt);
+    held.mHold = std::max(held.mHold, known->second.mHold);
     held.mUntil = std::max(held.mUntil, known->second.mUntil);
   }
   Hold(aPart.mPart, held);
@@ -321,12 +350,13 @@
     if (crashes.size() >= kMinCrashes && !mQuarantined.contains(part)) {
       const auto counted = Counted(part, crashes);
       if (IsToBlame(counted, aNow)) {
-        Hold(part,
-             { counted.front().mAt,
-               counted.back().mAt + kHold,
-               kHold,
-               static_cast<std::int64_t>(counted.size()),
-               std::nullopt });
+        Quarantine held;
+        held.mFirstAt = counted.front().mAt;
+        held.mWasSound = WasSound(part);
+        held.mHold = held.mWasSound ? kFirstHoldOfSound : kHold;
+        held.mUntil = counted.back().mAt + held.mHold;
+        held.mCrashes = static_cast<std::int64_t>(counted.size());
+        Hold(part, held);
         mHasNews = true;
       }
     }
@@ -379,11 +409,13 @@
 }
 
 bool
-PromptQuarantine::MayTest(const std::string& aPart, Duration aOverSince) const
+PromptQuarantine::MayTest(const std::string& aPart,
+                          const Quarantine& aHeld,
+                          MonotonicTime aNow) const
 {
   // With as many names, nearly all hosts of a large fleet own one.
   constexpr int kMaxDoublings = 7;
-  const auto doublings = aOverSince / kTestTimeout;
+  const auto doublings = (aNow - aHeld.mUntil) / aHeld.TestTimeout();
   if (doublings >= kMaxDoublings || mIsOwner(aPart)) {
     return true;
   }
@@ -406,11 +438,12 @@
   if (aNow < held.mUntil) {
     return Block{ aPart, held.mCrashes, held.mUntil - aNow };
   }
-  const bool isTested = held.mTestedAt && aNow - *held.mTestedAt < kTestTimeout;
-  if (!isTested && MayTest(aPart, aNow - held.mUntil)) {
+  const bool isTested =
+    held.mTestedAt && aNow - *held.mTestedAt < held.TestTimeout();
+  if (!isTested && MayTest(aPart, held, aNow)) {
     return std::nullopt;
   }
-  return Block{ aPart, held.mCrashes, kTestTimeout };
+  return Block{ aPart, held.mCrashes, held.TestTimeout() };
 }
 
 std::optional<PromptQuarantine::Block>
--- a/Source/Serving/PromptQuarantine.h
+++ b/Source/Serving/PromptQuarantine.h
@@ -22,13 +22,15 @@
 /// Covers:
 /// - Engines crash together for another reason. Crashes within kTogether have
 ///   one cause, and a part that many requests share has answers within kSettle.
+/// - All engines crash for another reason, one after the other. A part that had
+///   answers before is tested soon, after kFirstHoldOfSound.
 /// - Messages are lost, or arrive late or twice. All state grows by joining
 ///   what is known: crashes by engine and time, and for each part the latest
 ///   answer. A crash is reported for kReportFor; quarantines, by all hosts.
 /// - The part is sound after all, or was mended. After kHold one host, the
-///   owner of the part, lets one request pass; each crash doubles the time.
+///   owner of the part, lets one request pass; each crash prolongs the time.
 /// - The owner gets no such request. The number of hosts that may test doubles
-///   every kTestTimeout, until a crash or an answer is known.
+///   with each time that a test may take, until a crash or an answer is known.
 class PromptQuarantine
 {
 public:
@@ -43,8 +45,14 @@
   static constexpr Duration kForgetCrash = std::chrono::seconds(120);
   static constexpr Duration kHold = std::chrono::seconds(60);
   static constexpr Duration kLongestHold = std::chrono::seconds(600);
+  /// First hold of a part with which engines wrote answers before. It grows by
+  /// kHoldGrowthOfSound up to kHold.
+  static constexpr Duration kFirstHoldOfSound = std::chrono::seconds(3);
+  static constexpr int kHoldGrowthOfSound = 4;
   /// A test without a result is repeated after this time.
   static constexpr Duration kTestTimeout = std::chrono::seconds(15);
+  /// The same for a part whose hold is shorter than kHold.
+  static constexpr Duration kShortTestTimeout = std::chrono::seconds(2);
   /// A quarantine that was not tested for this long is dropped. The others are
   /// told of it for a shorter time, since those who have dropped it would learn
   /// of it anew.
@@ -142,7 +150,20 @@
     MonotonicTime mUntil;
     Duration mHold{ 0 };
     std::int64_t mCrashes = 0;
+    /// Engines wrote answers with the part before the first crash.
+    bool mWasSound = false;
     std::optional<MonotonicTime> mTestedAt;
+
+    MonotonicTime LastCrash() const { return mUntil - mHold; }
+    /// How long a test may take.
+    Duration TestTimeout() const
+    {
+      return mHold < kHold ? kShortTestTimeout : kTestTimeout;
+    }
+    /// The hold after a crash in a test.
+    Duration NextHold() const;
+    /// Another host knows of answers before the first crash.
+    void LearnThatItWasSound();
   };
 
   void Add(const Crash& aCrash, const Parts& aParts, MonotonicTime aNow);
@@ -154,9 +175,16 @@
   /// Crashes of aCrashes since an answer was written with aPart, by time.
   std::vector<Crash> Counted(const std::string& aPart,
                              const std::vector<Crash>& aCrashes) const;
+  /// Whether an answer with aPart is known.
+  bool WasSound(const std::string& aPart) const
+  {
+    return mSound.contains(aPart);
+  }
   bool IsToBlame(const std::vector<Crash>& aCounted, MonotonicTime aNow) const;
   /// Whether this host may test aPart, whose quarantine is over.
-  bool MayTest(const std::string& aPart, Duration aOverSince) const;
+  bool MayTest(const std::string& aPart,
+               const Quarantine& aHeld,
+               MonotonicTime aNow) const;
   std::optional<Block> BlockOf(const std::string& aPart,
                                MonotonicTime aNow) const;
   void Hold(const std::string& aPart, const Quarantine& aQuarantine);
--- a/Tests/Serving/PromptQuarantineTest.cxx
+++ b/Tests/Serving/PromptQuarantineTest.cxx
@@ -57,7 +57,8 @@
     mReportedAt.push_back(-10000);
   }
 
-  /// Sends a request at a random host and engine, unless the host refuses it.
+  /// Sends a request at a random host and engine, unless the host refuses it or
+  /// all engines are down.
   bool Send(const Parts& aParts)
   {
     return SendAt(mRandom.Below(mHosts.size()), aParts);
@@ -69,6 +70,12 @@
         mHosts[aHost]->FindAtSend(aParts, At(mNow))) {
       return false;
     }
+    if (std::all_of(
+          mEngines.begin(), mEngines.end(), [this](const Engine& aEngine) {
+            return mNow < aEngine.mUpAt;
+          })) {
+      return false;
+    }
     std::size_t engine = 0;
     do {
       engine = mRandom.Below(mEngines.size());
@@ -263,6 +270,10 @@
   CPPUNIT_TEST(TestSoundPartsThatComeWithADeadlyOne);
   CPPUNIT_TEST(TestHostsThatHearLittle);
   CPPUNIT_TEST(TestEnginesThatCrashTogether);
+  CPPUNIT_TEST(TestOutageOfAllEngines);
+  CPPUNIT_TEST(TestPartThatTurnsDeadly);
+  CPPUNIT_TEST(TestHostsThatNeverSawTheAnswers);
+  CPPUNIT_TEST(TestReportOfAnOlderHost);
   CPPUNIT_TEST(TestOneCrashIsReportedOften);
   CPPUNIT_TEST(TestRepeat);
   CPPUNIT_TEST(TestQuarantineIsTested);
@@ -434,6 +445,142 @@
     });
   }
 
+  void TestOutageOfAllEngines()
+  {
+    struct Size
+    {
+      std::size_t mHosts;
+      double mRequestsPerStep;
+    };
+    for (const auto& size : { Size{ 18, 0.13 }, Size{ 295, 0.5 } }) {
+      for (const double loss : { 0.03, 0.3 }) {
+        Section(
+          std::to_string(size.mHosts) + " hosts, loss " + std::to_string(loss),
+          [&] {
+            Fleet fleet(size.mHosts, 12, loss);
+            int asked = 0;
+            int sent = 0;
+            const auto send = [&] {
+              auto& random = fleet.Random();
+              if (random.Chance(size.mRequestsPerStep)) {
+                ++asked;
+                sent +=
+                  fleet.Send({ "system", Shared(random.Below(20)) }) ? 1 : 0;
+              }
+            };
+            fleet.Run(3000, send);
+            for (std::size_t engine = 0; engine < 12; ++engine) {
+              fleet.Crash(engine);
+              fleet.Run(120, send);
+            }
+            fleet.Run(6000, send);
+            asked = 0;
+            sent = 0;
+            fleet.Run(15000, send);
+            CPPUNIT_ASSERT(asked > 100);
+            CPPUNIT_ASSERT(2 * sent >= asked);
+            CPPUNIT_ASSERT_EQUAL(std::size_t(0),
+                                 fleet.CountBlocking({ "system" }));
+          });
+      }
+    }
+  }
+
+  void TestPartThatTurnsDeadly()
+  {
+    for (const double loss : { 0.03, 0.3 }) {
+      Section("loss " + std::to_string(loss), [&] {
+        Fleet fleet(112, 40, loss);
+        int sent = 0;
+        const auto send = [&] {
+          auto& random = fleet.Random();
+          if (random.Chance(0.02) &&
+              fleet.Send({ "common", "bad", Shared(random.Below(20)) })) {
+            ++sent;
+          }
+          if (random.Chance(0.4)) {
+            fleet.Send({ "common", Shared(random.Below(20)) });
+          }
+        };
+        fleet.Run(5000, send);
+        fleet.mDeadly = { "bad" };
+        Section("engines are tested a few times, at growing intervals", [&] {
+          fleet.Run(60000, send);
+          CPPUNIT_ASSERT(fleet.mCrashedAt.size() >= 3);
+          CPPUNIT_ASSERT(fleet.DeadlySendsAfter(3000) <= 3);
+        });
+        Section("an answer releases it soon after it was mended", [&] {
+          fleet.mDeadly.clear();
+          fleet.Run(70000, send);
+          sent = 0;
+          fleet.Run(5000, send);
+          CPPUNIT_ASSERT(sent > 0);
+          CPPUNIT_ASSERT_EQUAL(std::size_t(0), fleet.CountBlocking({ "bad" }));
+        });
+      });
+    }
+  }
+
+  void TestHostsThatNeverSawTheAnswers()
+  {
+    const auto isOwner = [](const std::string&) { return true; };
+    for (const bool tellsFirst : { true, false }) {
+      Section(tellsFirst ? "the host that saw them tells first"
+                         : "the other host tells first",
+              [&] {
+                PromptQuarantine saw(isOwner);
+                PromptQuarantine other(isOwner);
+                saw.OnSound({ "bad" }, At(-5000), At(-4000));
+                Quarantine(saw, 0);
+                Quarantine(other, 0);
+                if (tellsFirst) {
+                  other.Merge(saw.Report(At(2100)), At(2100));
+                  saw.Merge(other.Report(At(2200)), At(2200));
+                } else {
+                  saw.Merge(other.Report(At(2100)), At(2100));
+                  other.Merge(saw.Report(At(2200)), At(2200));
+                }
+                // The last crash was at 2 s.
+                CPPUNIT_ASSERT(saw.Find({ "bad" }, At(4900)));
+                CPPUNIT_ASSERT(other.Find({ "bad" }, At(4900)));
+                CPPUNIT_ASSERT(!saw.Find({ "bad" }, At(5100)));
+                CPPUNIT_ASSERT(!other.Find({ "bad" }, At(5100)));
+              });
+    }
+  }
+
+  void TestReportOfAnOlderHost()
+  {
+    // The form before hosts told whether the part had answers.
+    msgpack::sbuffer bytes;
+    msgpack::packer<msgpack::sbuffer> packer(bytes);
+    packer.pack_array(5);
+    packer.pack("bad");
+    packer.pack(2000);
+    packer.pack(58000);
+    packer.pack(60000);
+    packer.pack(3);
+    const auto part =
+      msgpack::unpack(bytes.data(), bytes.size()).get().as<QuarantinedPart>();
+    CPPUNIT_ASSERT(part == (QuarantinedPart{ "bad", 2000, 58000, 60000, 3 }));
+    CrashReport report;
+    report.mQuarantined = { part };
+    const auto isOwner = [](const std::string&) { return true; };
+    Section("a host that saw no answer holds the part as long", [&] {
+      PromptQuarantine host(isOwner);
+      host.Merge(report, At(2000));
+      CPPUNIT_ASSERT(host.Find({ "bad" }, At(59900)));
+      CPPUNIT_ASSERT(!host.Find({ "bad" }, At(60100)));
+    });
+    Section("a host that saw one tests it sooner", [&] {
+      PromptQuarantine host(isOwner);
+      host.OnSound({ "bad" }, At(-5000), At(-4000));
+      host.Merge(report, At(2000));
+      CPPUNIT_ASSERT(host.Find({ "bad" }, At(2900)));
+      CPPUNIT_ASSERT(!host.Find({ "bad" }, At(3100)));
+    });
+  }
+
   void TestOneCrashIsReportedOften()
   {
     PromptQuarantine host([](const std::string&) { return false; });
