Targets: Give each order to an engine a connection of its own

What operators of similar systems saw: a faulty server wrote an earlier refusal once more on a kept connection, and it was taken for the answer to a later request.

Cause: OrderClient used QNetworkAccessManager, which keeps connections. Nothing in an answer tells which order it belongs to, so a late copy of a 409 reported an order as stale that the engine had carried out, and a late copy of a 200 reported one as accepted that it had refused. The manager also sent an order a second time by itself when a kept connection closed.

Ruled out: asking for "Connection: close". A faulty engine need not obey.

Change: orders and reads of an engine's state go through CurlMulti, one connection a call, as calls to engines and services do. The body of a reply is limited while it is read, an interim status alone is "unknown", and redirects are not followed as before.

--- a/Source/Targets/OrderClient.cxx
+++ b/Source/Targets/OrderClient.cxx
@@ -1,12 +1,10 @@
 #include "Targets/OrderClient.h"
 
+#include "Core/HttpStatus.h"
+
 #include <QJsonArray>
 #include <QJsonDocument>
 #include <QJsonObject>
-#include <QNetworkReply>
-#include <QNetworkRequest>
-#include <QTimer>
-#include <QUrl>
 #include <algorithm>
 #include <utility>
 
@@ -14,7 +12,7 @@
 
 namespace {
 
-constexpr qint64 kMaxStateBytes = 4 << 20;
+constexpr std::size_t kMaxReplyBytes = 4 << 20;
 
 void
 AddText(QJsonObject& aJson, const QString& aName, const std::string& aValue)
@@ -38,20 +36,16 @@
 }
 
 OrderReport
-ReportOf(QNetworkReply& aReply)
+ReportOf(int aStatus)
 {
-  const auto status =
-    aReply.attribute(QNetworkRequest::HttpStatusCodeAttribute).toInt();
-  if (status >= 200 && status < 300) {
+  if (aStatus >= 200 && aStatus < 300) {
     return OrderReport::kAccepted;
   }
-  if (status == 409 || status == 412) {
+  if (aStatus == 409 || aStatus == 412) {
     return OrderReport::kStale;
   }
-  // Without a status nothing is certain, not even after a refused connection:
-  // QNetworkAccessManager sends a request again when a kept connection closes,
-  // and only the last error is seen here.
-  return status != 0 ? OrderReport::kRefused : OrderReport::kUnknown;
+  // An interim status says nothing of the order.
+  return aStatus >= 300 ? OrderReport::kRefused : OrderReport::kUnknown;
 }
 
 } // namespace
@@ -98,47 +92,50 @@
 OrderClient::OrderClient(std::chrono::milliseconds aTimeout)
   : mTimeout(aTimeout)
 {
-  mNetwork.setAutoDeleteReplies(true);
 }
 
-QNetworkRequest
-OrderClient::RequestTo(const Target& aEngine, const char* aPath) const
+HttpCall
+OrderClient::CallTo(const Target& aEngine, const char* aPath) const
 {
-  QNetworkRequest request(QUrl("http://" +
-                               QString::fromStdString(aEngine.mAddress) +
-                               QString::fromLatin1(aPath)));
-  request.setHeader(QNetworkRequest::ContentTypeHeader, "application/json");
-  // A redirect would take an order to a host that was not chosen.
-  request.setAttribute(QNetworkRequest::RedirectPolicyAttribute,
-                       QNetworkRequest::ManualRedirectPolicy);
-  return request;
+  HttpCall call;
+  call.mUrl = "http://" + aEngine.mAddress + aPath;
+  call.mConnectTimeout = mTimeout;
+  call.mTimeout = mTimeout;
+  return call;
 }
 
 void
-OrderClient::Bound(QNetworkReply* aReply) const
+OrderClient::Start(const HttpCall& aCall, OnReply aOnReply)
 {
-  // The manager's own transfer timeout begins again with each byte.
-  QTimer::singleShot(mTimeout, aReply, [aReply] { aReply->abort(); });
+  const auto number = ++mLastCall;
+  auto& call = mCalls[number];
+  call.mTransfer = mCurl.Start(
+    aCall,
+    [&call](std::string_view aBytes) {
+      call.mBody += aBytes.substr(0, kMaxReplyBytes - call.mBody.size());
+    },
+    [this, number, onReply = std::move(aOnReply)](const TransferEnd& aEnd) {
+      const auto ended = mCalls.extract(number);
+      onReply(aEnd, ended.mapped().mBody);
+    });
 }
 
 void
 OrderClient::ReadState(const Target& aEngine,
                        std::function<void(Result<EngineState>)> aCallback)
 {
-  auto* reply = mNetwork.get(RequestTo(aEngine, "/state"));
-  Bound(reply);
-  QObject::connect(
-    reply,
-    &QNetworkReply::finished,
-    &mNetwork,
-    [reply, callback = std::move(aCallback)] {
-      if (reply->error() != QNetworkReply::NoError) {
-        callback(
-          Failure(ErrorCode::kUnavailable, reply->errorString().toStdString()));
-        return;
-      }
-      callback(DecodeEngineState(reply->read(kMaxStateBytes).toStdString()));
-    });
+  Start(CallTo(aEngine, "/state"),
+        [callback = std::move(aCallback)](const TransferEnd& aEnd,
+                                          const std::string& aBody) {
+          if (aEnd.mKind != TransferEndKind::kReplied ||
+              aEnd.mStatus != kStatusOk) {
+            callback(Failure(ErrorCode::kUnavailable,
+                             aEnd.mMessage + " (status " +
+                               std::to_string(aEnd.mStatus) + ")"));
+            return;
+          }
+          callback(DecodeEngineState(aBody));
+        });
 }
 
 void
@@ -146,14 +143,15 @@
                   const EngineOrder& aOrder,
                   std::function<void(OrderReport)> aCallback)
 {
-  const auto body = QByteArray::fromStdString(EncodeEngineOrder(aOrder));
-  auto* reply = mNetwork.post(RequestTo(aEngine, "/orders"), body);
-  Bound(reply);
-  QObject::connect(
-    reply,
-    &QNetworkReply::finished,
-    &mNetwork,
-    [reply, callback = std::move(aCallback)] { callback(ReportOf(*reply)); });
+  auto call = CallTo(aEngine, "/orders");
+  call.mMethod = "POST";
+  call.mHeaders = { "Content-Type: application/json" };
+  call.mBody = EncodeEngineOrder(aOrder);
+  Start(call,
+        [callback = std::move(aCallback)](const TransferEnd& aEnd,
+                                          const std::string&) {
+          callback(ReportOf(aEnd.mStatus));
+        });
 }
 
 } // namespace ragwortdeck
--- a/Source/Targets/OrderClient.h
+++ b/Source/Targets/OrderClient.h
@@ -3,9 +3,11 @@
 #include "Core/EngineOrder.h"
 #include "Core/Result.h"
 #include "Core/SiteView.h"
+#include "Targets/CurlMulti.h"
 
-#include <QNetworkAccessManager>
 #include <functional>
+#include <map>
+#include <memory>
 #include <string>
 
 namespace ragwortdeck {
@@ -21,6 +23,9 @@
 DecodeEngineState(const std::string& aJson);
 
 /// \brief Sends orders to engines and reads their state over HTTP.
+///
+/// Each call has a connection of its own: an engine may send a late copy of an
+/// earlier answer, and nothing tells it from the answer to the next order.
 class OrderClient
 {
 public:
@@ -37,13 +42,23 @@
             std::function<void(OrderReport)> aCallback);
 
 private:
-  QNetworkRequest RequestTo(const Target& aEngine, const char* aPath) const;
+  using OnReply = std::function<void(const TransferEnd&, const std::string&)>;
 
-  /// Aborts a reply that takes longer than the timeout as a whole.
-  void Bound(QNetworkReply* aReply) const;
+  struct Call
+  {
+    std::unique_ptr<CurlTransfer> mTransfer;
+    std::string mBody;
+  };
+
+  /// aOnReply gets the end of the call and up to kMaxReplyBytes of the body.
+  void Start(const HttpCall& aCall, OnReply aOnReply);
+  HttpCall CallTo(const Target& aEngine, const char* aPath) const;
 
   std::chrono::milliseconds mTimeout;
-  QNetworkAccessManager mNetwork;
+  CurlMulti mCurl;
+  /// Running calls by their number.
+  std::map<std::uint64_t, Call> mCalls;
+  std::uint64_t mLastCall = 0;
 };
 
 } // namespace ragwortdeck
--- a/Tests/Targets/OrderClientTest.cxx
+++ b/Tests/Targets/OrderClientTest.cxx
@@ -6,6 +6,7 @@
 #include <QTcpSocket>
 #include <cppunit/extensions/HelperMacros.h>
 #include <optional>
+#include <vector>
 
 namespace ragwortdeck {
 
@@ -19,6 +20,9 @@
   CPPUNIT_TEST(TestStateText);
   CPPUNIT_TEST(TestReports);
   CPPUNIT_TEST(TestReadState);
+  CPPUNIT_TEST(TestLateCopyOfAnEarlierAnswer);
+  CPPUNIT_TEST(TestEngineThatClosesAfterReading);
+  CPPUNIT_TEST(TestAnswerWithoutEnd);
   CPPUNIT_TEST_SUITE_END();
 
   /// \brief Answers each request with one text, or not at all.
@@ -55,6 +59,66 @@
     QTcpServer mServer;
   };
 
+  /// \brief Keeps its connections open, and misuses those that served a request
+  /// before.
+  class KeepAliveServer
+  {
+  public:
+    using Answers = std::vector<QByteArray>;
+
+    /// Answers the requests in the order of aAnswers.
+    explicit KeepAliveServer(Answers aAnswers)
+      : mAnswers(std::move(aAnswers))
+    {
+      CPPUNIT_ASSERT(mServer.listen(QHostAddress::LocalHost));
+      QObject::connect(&mServer, &QTcpServer::newConnection, [this] {
+        auto* socket = mServer.nextPendingConnection();
+        QObject::connect(socket,
+                         &QTcpSocket::readyRead,
+                         [this, socket, previous = QByteArray()]() mutable {
+                           OnBytes(*socket, previous);
+                         });
+      });
+    }
+
+    Target Address() const
+    {
+      Target target;
+      target.mAddress = "127.0.0.1:" + std::to_string(mServer.serverPort());
+      return target;
+    }
+
+    bool mRepeatsAnswers = false;
+    bool mClosesUsedConnections = false;
+    std::size_t mRequests = 0;
+
+  private:
+    void OnBytes(QTcpSocket& aSocket, QByteArray& aPrevious)
+    {
+      const auto bytes = aSocket.readAll();
+      if (!bytes.startsWith("POST") && !bytes.startsWith("GET")) {
+        return; // The body of the request before.
+      }
+      const auto answer = mAnswers.at(mRequests % mAnswers.size());
+      ++mRequests;
+      if (mClosesUsedConnections && !aPrevious.isEmpty()) {
+        aSocket.disconnectFromHost();
+        return;
+      }
+      aSocket.write(mRepeatsAnswers ? aPrevious + answer : answer);
+      aPrevious = answer;
+    }
+
+    Answers mAnswers;
+    QTcpServer mServer;
+  };
+
+  static QByteArray KeptHttp(const char* aStatus)
+  {
+    return "HTTP/1.1 " + QByteArray(aStatus) +
+           "\r\nContent-Length: 2\r\n\r\n{}";
+  }
+
   static QByteArray Http(const char* aStatus, const QByteArray& aBody = {})
   {
     return "HTTP/1.1 " + QByteArray(aStatus) +
@@ -78,8 +142,13 @@
                           std::chrono::milliseconds aTimeout)
   {
     OrderClient client(aTimeout);
+    return Send(client, aTarget);
+  }
+
+  static OrderReport Send(OrderClient& aClient, const Target& aTarget)
+  {
     std::optional<OrderReport> report;
-    client.Send(
+    aClient.Send(
       aTarget, Order(), [&report](OrderReport aReport) { report = aReport; });
     RunEventLoopUntil([&report] { return report.has_value(); });
     return *report;
@@ -153,6 +222,54 @@
       CPPUNIT_ASSERT_EQUAL(std::string(status) == "200 OK", state->has_value());
     }
   }
+
+  /// Guards against an order whose outcome is taken from the answer to another
+  /// one: nothing in an answer tells them apart.
+  void TestLateCopyOfAnEarlierAnswer()
+  {
+    KeepAliveServer server(
+      { KeptHttp("409 Conflict"), KeptHttp("200 OK"), KeptHttp("500 Error") });
+    server.mRepeatsAnswers = true;
+    OrderClient client(30s);
+    CPPUNIT_ASSERT(Send(client, server.Address()) == OrderReport::kStale);
+    Section("an order that was carried out is not reported as stale", [&] {
+      CPPUNIT_ASSERT(Send(client, server.Address()) == OrderReport::kAccepted);
+    });
+    Section("an order that was refused is not reported as accepted", [&] {
+      CPPUNIT_ASSERT(Send(client, server.Address()) == OrderReport::kRefused);
+    });
+  }
+
+  /// Guards against an order that is sent a second time without anyone asking.
+  void TestEngineThatClosesAfterReading()
+  {
+    KeepAliveServer server({ KeptHttp("200 OK") });
+    server.mClosesUsedConnections = true;
+    OrderClient client(30s);
+    for (std::size_t sent = 1; sent <= 3; ++sent) {
+      Send(client, server.Address());
+      CPPUNIT_ASSERT_EQUAL(sent, server.mRequests);
+    }
+  }
+
+  void TestAnswerWithoutEnd()
+  {
+    Section("an interim answer alone says nothing", [] {
+      KeepAliveServer server({ "HTTP/1.1 100 Continue\r\n\r\n" });
+      CPPUNIT_ASSERT(Send(server.Address(), 300ms) == OrderReport::kUnknown);
+    });
+    Section("a state without end is an error", [] {
+      KeepAliveServer server({ "HTTP/1.1 200 OK\r\nContent-Length: "
+                               "99999999\r\n\r\n{\"models\":[]}" });
+      OrderClient client(300ms);
+      std::optional<Result<EngineState>> state;
+      client.ReadState(
+        server.Address(),
+        [&state](const Result<EngineState>& aState) { state = aState; });
+      RunEventLoopUntil([&state] { return state.has_value(); });
+      CPPUNIT_ASSERT(!state->has_value());
+    });
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(OrderClientTest);
