Filters: Let a caller over the limit of connections finish sending

What callers saw: a caller over the limit, whose request was still on its way, got a reset instead of the 503 that says that nothing ran and when to return.

Cause: Admit() wrote the refusal and closed. The kernel answers bytes that arrive for a closed socket with a reset, and the sending caller gives up. Other refusals have lingered since the gate was written; this one is made before there is a gate.

Change: the refused connection lingers in the same way: the sending side is shut down, what arrives is dropped, and it ends after 2 s at the latest. At most 256 linger on a thread, so that a flood over the limit cannot hold sockets without bound; the rest is closed as before.

--- a/Source/Filters/CallerServer.cxx
+++ b/Source/Filters/CallerServer.cxx
@@ -22,6 +22,8 @@
 /// How long a refused connection may go on sending before it is cut off.
 constexpr std::chrono::seconds kLinger{ 2 };
 constexpr std::chrono::seconds kRetryAfterFull{ 1 };
+/// Bound of the connections that a flood of callers over the limit can hold.
+constexpr std::size_t kMaxLingering = 256;
 
 /// Listens on plain sockets or, with QSslServer as base, on TLS.
 template<typename Base>
@@ -80,6 +82,21 @@
   return std::nullopt;
 }
 
+/// Ends a connection once what was written is sent. The owner reads and drops
+/// what the caller still sends, because closing with unread bytes would destroy
+/// the reply in flight.
+void
+LingerAfterReply(QTcpSocket& aSocket)
+{
+  aSocket.flush();
+  if (qobject_cast<QSslSocket*>(&aSocket)) {
+    aSocket.disconnectFromHost();
+  } else if (aSocket.bytesToWrite() == 0) {
+    shutdown(int(aSocket.socketDescriptor()), SHUT_WR);
+  }
+  QTimer::singleShot(kLinger, &aSocket, [&aSocket] { aSocket.abort(); });
+}
+
 int
 OpenBound(const Endpoint& aEndpoint, bool aReusePort)
 {
@@ -197,7 +214,9 @@
 {
   mOwner.mOnRefused(aVerdict);
   mSocket.write(RefusalReply(aVerdict, { { "Connection", "close" } }));
-  Linger();
+  mIsClosing = true;
+  Detach();
+  LingerAfterReply(mSocket);
 }
 
 void
@@ -210,20 +229,6 @@
   mSocket.readAll();
 }
 
-void
-CallerGate::Linger()
-{
-  mIsClosing = true;
-  Detach();
-  mSocket.flush();
-  if (qobject_cast<QSslSocket*>(&mSocket)) {
-    mSocket.disconnectFromHost();
-  } else if (mSocket.bytesToWrite() == 0) {
-    shutdown(int(mSocket.socketDescriptor()), SHUT_WR);
-  }
-  QTimer::singleShot(kLinger, &mSocket, [this] { mSocket.abort(); });
-}
-
 void
 CallerGate::OnReplied(bool aClose)
 {
@@ -288,7 +293,16 @@
   mOnRefused(verdict);
   aSocket.write(RefusalReply(verdict, { { "Connection", "close" } }));
   connect(&aSocket, &QTcpSocket::disconnected, &aSocket, &QObject::deleteLater);
-  aSocket.disconnectFromHost();
+  if (mLingering >= kMaxLingering) {
+    aSocket.disconnectFromHost();
+    return false;
+  }
+  ++mLingering;
+  connect(&aSocket, &QObject::destroyed, this, [this] { --mLingering; });
+  connect(&aSocket, &QTcpSocket::readyRead, &aSocket, [&aSocket] {
+    aSocket.readAll();
+  });
+  LingerAfterReply(aSocket);
   return false;
 }
 
--- a/Source/Filters/CallerServer.h
+++ b/Source/Filters/CallerServer.h
@@ -53,9 +53,6 @@
   void Refuse(const Verdict& aVerdict);
   /// Keeps QHttpServer from reading any more of this connection.
   void Detach();
-  /// Ends the connection after a refusal, reading what the caller still sends,
-  /// because closing with unread bytes would destroy the reply in flight.
-  void Linger();
 
   QTcpSocket& mSocket;
   CallerConnections& mOwner;
@@ -77,7 +74,8 @@
   /// The QHttpServer that reads the connections.
   void SetHttpServer(QObject& aServer) { mHttpServer = &aServer; }
   /// Installs the gate, or refuses the connection when there are too many.
-  /// Returns false when refused.
+  /// Returns false when refused; the caller may then finish sending, as long as
+  /// few others do.
   bool Admit(QTcpSocket& aSocket);
   /// nullptr for an unknown socket.
   CallerGate* Find(const QTcpSocket* aSocket);
@@ -90,6 +88,8 @@
   OnRefused mOnRefused;
   QObject* mHttpServer = nullptr;
   std::unordered_map<const QTcpSocket*, CallerGate*> mGates;
+  /// Refused connections whose callers may still be sending.
+  std::size_t mLingering = 0;
   QTimer mAgeTimer;
 };
 
