Entry: End a plain request whose second send was due when it ended

What callers saw: nothing, which is the fault: a request that a planned stop (or its deadline, or its caller) had ended went on waiting for its target. At a stop the process exits 150 ms later and closes the connection with neither an answer nor a refusal.

Cause: the end of a request cancels the timer that its coroutine waits for. If the delay of a second send expires in the same turn of a late event loop, its handler is queued already and there is nothing to cancel. The coroutine then asked for a second send, was denied one by the retry allowance, and waited again, up to the route's timeout, without looking whether the request had ended. Class: a wake-up that is lost because it is kept nowhere.

Ruled out: the other waits of this kind. StreamRun looks at the end of the request before each wait (its queue, its moves) and after it.

Change: the end is looked at before the second wait.

Test: FieldFailuresTest::TestEndTogetherWithTheDelayOfASecondSend.

--- a/Source/Entry/PlainRelay.cxx
+++ b/Source/Entry/PlainRelay.cxx
@@ -180,7 +180,10 @@
       race->mSignal.expires_after(hedgeDelay);
       error_code ec;
       co_await race->mSignal.async_wait(RedirectError(ec));
-      if (!ec && maySend && mRecorded == race->mOutcomes.size()) {
+      // A request that ends when the delay is over already finds no wait to
+      // cancel.
+      if (!ec && maySend && !mRequest.HasEnded() &&
+          mRecorded == race->mOutcomes.size()) {
         if (mContext.TryRetry(mRequest.mService)) {
           mContext.mMetrics.Count("entry_second_sends_total");
           start = true;
--- a/Tests/Entry/FieldFailuresTest.cxx
+++ b/Tests/Entry/FieldFailuresTest.cxx
@@ -6,6 +6,7 @@
 #include <algorithm>
 #include <boost/asio/read.hpp>
 #include <cppunit/extensions/HelperMacros.h>
+#include <thread>
 
 namespace ragwortdeck {
 
@@ -157,6 +158,7 @@
   CPPUNIT_TEST(TestEndlessHeads);
   CPPUNIT_TEST(TestEndlessBodies);
   CPPUNIT_TEST(TestRequestsAtTheEndOfTheGrace);
+  CPPUNIT_TEST(TestEndTogetherWithTheDelayOfASecondSend);
   CPPUNIT_TEST(TestRequestsReadDuringAStop);
   CPPUNIT_TEST(TestRejectedWhileSending);
   CPPUNIT_TEST(TestUnexpectedErrors);
@@ -815,6 +817,30 @@
     });
   }
 
+  void TestEndTogetherWithTheDelayOfASecondSend()
+  {
+    // Guards against a request that waits for its target until the timeout of
+    // its route, although a stop has ended it: the process exits before.
+    RelayWorld world;
+    world.mRouteTimeout = std::chrono::hours(1);
+    world.mLatencyGoal = Milliseconds(400);
+    auto& target = world.AddTarget("t1");
+    target.AddScript([](tcp::socket&, const std::string&) { return true; });
+    world.Start();
+    auto& context = world.Context();
+    const auto caller = world.Call(RelayWorld::Request("safe", "id1"));
+    world.RunUntil([&] { return !target.Requests().empty(); });
+    while (context.TryRetry("s")) {
+    }
+    // The event loop is late, so that the stop and the delay are due together.
+    asio::steady_timer stop(context.mIo, Milliseconds(50));
+    stop.async_wait([&](const error_code&) { context.FinishAll(); });
+    asio::post(context.mIo,
+               [] { std::this_thread::sleep_for(Milliseconds(500)); });
+    CPPUNIT_ASSERT(
+      world.Reply(*caller, "\r\n\r\n").starts_with("HTTP/1.1 504"));
+  }
+
   void TestRequestsReadDuringAStop()
   {
     RelayWorld world;
