Serving: Let few hosts test a part at once after a short hold

With a hold of 3 s the number of hosts that may test doubled every 2 s, so all could after 14 quiet seconds, and a burst of requests with a part that turned deadly crashed as many engines. News of earlier answers that came late moved the end of the hold into the past, with the same effect, and undid a hold that a test had prolonged. A test that took over 2 s was repeated.

Change: the number of hosts doubles quickly three times only, then every 15 s as before; a hold learned late ends now at the earliest; one over a minute is not shortened; a host repeats its own test after 15 s as before.

Tests: TestBurstAfterAQuietTime (more than three engines in the second burst) and TestAnswersThatAreToldLate failed before and pass now; TestOutageOfAllEngines passes with the same bound. PromptQuarantineTest OK (20).

--- a/Source/Serving/PromptQuarantine.cxx
+++ b/Source/Serving/PromptQuarantine.cxx
@@ -255,12 +255,20 @@
   held.mUntil = aNow + remaining;
   held.mCrashes = crashes;
   held.mWasSound = aPart.mWasSound;
+  // Where a test has prolonged the hold, earlier answers prove nothing more.
+  // One that is learned late must not open the part to many hosts at once.
+  const auto shorten = [&](Quarantine& aHeld) {
+    if (aHeld.mHold <= kHold) {
+      aHeld.LearnThatItWasSound();
+      aHeld.mUntil = std::max(aHeld.mUntil, aNow);
+    }
+  };
   if (isKnown && held.mWasSound && !known->second.mWasSound) {
-    known->second.LearnThatItWasSound();
+    shorten(known->second);
     mChanges.push_back(ChangeOf(aPart.mPart, known->second));
   } else if (!held.mWasSound &&
              (isKnown ? known->second.mWasSound : WasSound(aPart.mPart))) {
-    held.LearnThatItWasSound();
+    shorten(held);
   }
   if (isKnown && std::pair(held.mCrashes, held.mHold) <=
                    std::pair(known->second.mCrashes, known->second.mHold)) {
@@ -273,8 +281,11 @@
   }
   if (isKnown) {
     held.mFirstAt = std::min(held.mFirstAt, known->second.mFirstAt);
+    const auto lastCrash =
+      std::max(held.LastCrash(), known->second.LastCrash());
     held.mHold = std::max(held.mHold, known->second.mHold);
-    held.mUntil = std::max(held.mUntil, known->second.mUntil);
+    held.mUntil =
+      std::max({ held.mUntil, known->second.mUntil, lastCrash + held.mHold });
   }
   Hold(aPart.mPart, held);
 }
@@ -415,7 +426,15 @@
 {
   // With as many names, nearly all hosts of a large fleet own one.
   constexpr int kMaxDoublings = 7;
-  const auto doublings = (aNow - aHeld.mUntil) / aHeld.TestTimeout();
+  // A few hosts are enough to test a part soon; with many, a burst of requests
+  // crashes as many engines.
+  constexpr Duration::rep kMaxQuickDoublings = 3;
+  const auto over = aNow - aHeld.mUntil;
+  const auto quick = aHeld.mHold < kHold
+                       ? std::min(over / kShortTestTimeout, kMaxQuickDoublings)
+                       : 0;
+  const auto doublings =
+    quick + (over - quick * kShortTestTimeout) / kTestTimeout;
   if (doublings >= kMaxDoublings || mIsOwner(aPart)) {
     return true;
   }
@@ -438,8 +457,7 @@
   if (aNow < held.mUntil) {
     return Block{ aPart, held.mCrashes, held.mUntil - aNow };
   }
-  const bool isTested =
-    held.mTestedAt && aNow - *held.mTestedAt < held.TestTimeout();
+  const bool isTested = held.mTestedAt && aNow - *held.mTestedAt < kTestTimeout;
   if (!isTested && MayTest(aPart, held, aNow)) {
     return std::nullopt;
   }
--- a/Tests/Serving/PromptQuarantineTest.cxx
+++ b/Tests/Serving/PromptQuarantineTest.cxx
@@ -274,6 +274,8 @@
   CPPUNIT_TEST(TestPartThatTurnsDeadly);
   CPPUNIT_TEST(TestHostsThatNeverSawTheAnswers);
   CPPUNIT_TEST(TestReportOfAnOlderHost);
+  CPPUNIT_TEST(TestBurstAfterAQuietTime);
+  CPPUNIT_TEST(TestAnswersThatAreToldLate);
   CPPUNIT_TEST(TestOneCrashIsReportedOften);
   CPPUNIT_TEST(TestRepeat);
   CPPUNIT_TEST(TestQuarantineIsTested);
@@ -581,6 +583,52 @@
     });
   }
 
+  void TestBurstAfterAQuietTime()
+  {
+    // Requests with a part that had answers before come in bursts, at ten hosts
+    // each time, and the part is deadly now.
+    Fleet fleet(112, 40, 0.03);
+    const auto burst = [&] {
+      for (std::size_t i = 0; i < 10; ++i) {
+        fleet.SendAt(fleet.Random().Below(112), { "bad" });
+        fleet.Run(40);
+      }
+      fleet.Run(30000);
+    };
+    burst();
+    fleet.mDeadly = { "bad" };
+    burst();
+    const auto crashed = fleet.mCrashedAt.size();
+    burst();
+    CPPUNIT_ASSERT(fleet.mCrashedAt.size() <= crashed + 3);
+  }
+
+  void TestAnswersThatAreToldLate()
+  {
+    // This host learns only after the hold is over that others saw answers.
+    std::set<std::string> asked;
+    PromptQuarantine host([&](const std::string& aName) {
+      asked.insert(aName);
+      return false;
+    });
+    Quarantine(host, 0);
+    CrashReport report;
+    Section("the part is not open to many hosts at once", [&] {
+      report.mQuarantined = { { "bad", 40000, -35000, 3000, 3, true } };
+      host.Merge(report, At(40000));
+      CPPUNIT_ASSERT(host.Find({ "bad" }, At(40100)));
+      CPPUNIT_ASSERT_EQUAL(std::size_t(1), asked.size());
+    });
+    Section("a hold that a test prolonged is not shortened", [&] {
+      PromptQuarantine tested([](const std::string&) { return true; });
+      Quarantine(tested, 0);
+      tested.OnCrash("e9", { "bad" }, At(63000), At(63000));
+      tested.Merge(report, At(64000));
+      CPPUNIT_ASSERT(tested.Find({ "bad" }, At(182000)));
+      CPPUNIT_ASSERT(!tested.Find({ "bad" }, At(184000)));
+    });
+  }
+
   void TestOneCrashIsReportedOften()
   {
     PromptQuarantine host([](const std::string&) { return false; });
