Platform: Let hosts leave beside an entry without a readable name

A host whose own entry cannot be parsed at all is gone, as on the entry process.

Test: the last section of TestFollowsListBesideOddEntry has such an entry now.

--- a/Source/Platform/HostListClient.cxx
+++ b/Source/Platform/HostListClient.cxx
@@ -384,10 +384,8 @@
     return;
   }
   std::set<std::string> odd;
-  bool isAnyoneOdd = false;
   for (const auto& entry : aList.mOddEntries) {
     odd.insert(entry.mNames.begin(), entry.mNames.end());
-    isAnyoneOdd = isAnyoneOdd || entry.mNames.empty();
   }
   // Addresses are used again: a host that lost its own is not kept.
   std::set<std::string> listed;
@@ -395,15 +393,14 @@
     listed.insert(host.mId);
     listed.insert(host.mAddress);
   }
-  std::copy_if(mLast->mHosts.begin(),
-               mLast->mHosts.end(),
-               std::back_inserter(aList.mHosts),
-               [&](const ListedHost& aHost) {
-                 return !listed.contains(aHost.mId) &&
-                        !listed.contains(aHost.mAddress) &&
-                        (isAnyoneOdd || odd.contains(aHost.mId) ||
-                         odd.contains(aHost.mAddress));
-               });
+  std::copy_if(
+    mLast->mHosts.begin(),
+    mLast->mHosts.end(),
+    std::back_inserter(aList.mHosts),
+    [&](const ListedHost& aHost) {
+      return !listed.contains(aHost.mId) && !listed.contains(aHost.mAddress) &&
+             (odd.contains(aHost.mId) || odd.contains(aHost.mAddress));
+    });
 }
 
 void
--- a/Source/Platform/HostListClient.h
+++ b/Source/Platform/HostListClient.h
@@ -115,8 +115,8 @@
   void ScheduleNext();
   void OnFinished();
   void Finish(Result<HostList> aResult);
-  /// Adds the hosts that an odd entry is about as they were last listed; if one
-  /// has no readable name, all that are missing.
+  /// Adds the hosts that an odd entry is about as they were last listed. One
+  /// without a readable name keeps none, or no host could leave beside it.
   void KeepHostsOfOddEntries(HostList& aList) const;
   /// Logs odd entries when they change.
   void TakeOddEntries(std::vector<OddEntry> aEntries);
--- a/Tests/Platform/HostListClientTest.cxx
+++ b/Tests/Platform/HostListClientTest.cxx
@@ -190,7 +190,7 @@
       R"({"targets":["127.0.0.1:7002"],"labels":{"host":"entry-2",)"
       R"("role":"router","failure_domain":"nadia"}})";
     // Waits for the poll that reads aEntry beside the newcomer's.
-    const auto service = [&](const std::string& aEntry) {
+    const auto listBesideNewcomer = [&](const std::string& aEntry) {
       list.mService.SetList(
         QByteArray::fromStdString("[" + newcomer + "," + aEntry + "]"));
       list.mScheduler.Advance(2500ms);
@@ -214,31 +214,33 @@
     });
     const auto expectKept = [&](const std::string& aOdd) {
       Section(aOdd, [&] {
-        service(aOdd);
+        listBesideNewcomer(aOdd);
         CPPUNIT_ASSERT(list.mClient->Last()->mHosts[1] == engine);
         CPPUNIT_ASSERT_EQUAL(std::size_t(1), list.mClient->OddEntries());
       });
     };
     const std::string prefix = R"({"targets":["127.0.0.1:9001"],"labels":{)";
     expectKept(prefix + R"("host":"","role":"engine","failure_domain":"n"}})");
-    expectKept(prefix + R"("role":1e99999}})");
+    expectKept(prefix + R"("role":7}})");
     expectKept(R"({"targets":["127.0.0.1:9001","127.0.0.1:9002"],"labels":{)"
                R"("host":"engines","role":"engine","failure_domain":"n"}})");
     Section("a host whose address another one has is not kept", [&] {
-      service(R"({"targets":["127.0.0.1:9001"],"labels":{"host":"engine-2",)"
-              R"("role":"engine","failure_domain":"n"}},{"labels":{)"
-              R"("host":"engine-1"}})");
+      listBesideNewcomer(
+        R"({"targets":["127.0.0.1:9001"],"labels":{"host":"engine-2",)"
+        R"("role":"engine","failure_domain":"n"}},{"labels":{)"
+        R"("host":"engine-1"}})");
       CPPUNIT_ASSERT_EQUAL(std::size_t(2), list.mClient->Last()->mHosts.size());
       CPPUNIT_ASSERT_EQUAL(std::string("engine-2"),
                            list.mClient->Last()->mHosts[1].mId);
     });
     Section("a host goes when no entry names it any more", [&] {
       const int changes = list.mChanges;
-      list.mService.SetList(QByteArray::fromStdString("[" + newcomer + "]"));
+      list.mService.SetList(
+        QByteArray::fromStdString("[" + newcomer + ",{broken}]"));
       list.mScheduler.Advance(2500ms);
       RunEventLoopUntil([&] { return list.mChanges > changes; });
       CPPUNIT_ASSERT_EQUAL(std::size_t(1), list.mClient->Last()->mHosts.size());
-      CPPUNIT_ASSERT_EQUAL(std::size_t(0), list.mClient->OddEntries());
+      CPPUNIT_ASSERT_EQUAL(std::size_t(1), list.mClient->OddEntries());
     });
   }
 
