--- a/Source/Serving/PromptQuarantine.h
+++ b/Source/Serving/PromptQuarantine.h
@@ -30,7 +30,8 @@
 /// - The part is sound after all, or was mended. After kHold one host, the
 ///   owner of the part, lets one request pass; each crash prolongs the time.
 /// - The owner gets no such request. The number of hosts that may test doubles
-///   with each time that a test may take, until a crash or an answer is known.
+///   every kTestTimeout, until a crash or an answer is known; after a short
+///   hold it first doubles three times at kShortTestTimeout.
 class PromptQuarantine
 {
 public:
@@ -51,7 +52,7 @@
   static constexpr int kHoldGrowthOfSound = 4;
   /// A test without a result is repeated after this time.
   static constexpr Duration kTestTimeout = std::chrono::seconds(15);
-  /// The same for a part whose hold is shorter than kHold.
+  /// Interval at which more hosts may test a part whose hold is short.
   static constexpr Duration kShortTestTimeout = std::chrono::seconds(2);
   /// A quarantine that was not tested for this long is dropped. The others are
   /// told of it for a shorter time, since those who have dropped it would learn
@@ -155,7 +156,7 @@
     std::optional<MonotonicTime> mTestedAt;
 
     MonotonicTime LastCrash() const { return mUntil - mHold; }
-    /// How long a test may take.
+    /// Interval at which more hosts may test the part, and callers return.
     Duration TestTimeout() const
     {
       return mHold < kHold ? kShortTestTimeout : kTestTimeout;
