Serving: Report a shortened hold only when it is shortened

Found on reading the change again. Where a test had prolonged the hold of a part, each report of a host that knew of earlier answers counted as a change: one log line "prompt_quarantined" and a look at all streams a report, about once a second, for as long as the part was held.

The condition stood in three places. LearnThatItWasSound() now decides alone whether the hold may be shortened and where it ends, and says whether it was.

--- a/Source/Serving/PromptQuarantine.cxx
+++ b/Source/Serving/PromptQuarantine.cxx
@@ -45,13 +45,17 @@
                        : std::min(mHold * 2, kLongestHold);
 }
 
-void
-PromptQuarantine::Quarantine::LearnThatItWasSound()
+bool
+PromptQuarantine::Quarantine::LearnThatItWasSound(MonotonicTime aNow)
 {
-  mUntil = LastCrash() + kFirstHoldOfSound;
+  if (mWasSound || mHold > kHold) {
+    return false;
+  }
+  mUntil = std::max(LastCrash() + kFirstHoldOfSound, aNow);
   mHold = kFirstHoldOfSound;
   mWasSound = true;
   mTestedAt.reset();
+  return true;
 }
 
 void
@@ -255,20 +259,12 @@
   held.mUntil = aNow + remaining;
   held.mCrashes = crashes;
   held.mWasSound = aPart.mWasSound;
-  // Where a test has prolonged the hold, earlier answers prove nothing more.
-  // One that is learned late must not open the part to many hosts at once.
-  const auto shorten = [&](Quarantine& aHeld) {
-    if (aHeld.mHold <= kHold) {
-      aHeld.LearnThatItWasSound();
-      aHeld.mUntil = std::max(aHeld.mUntil, aNow);
+  if (isKnown && held.mWasSound) {
+    if (known->second.LearnThatItWasSound(aNow)) {
+      mChanges.push_back(ChangeOf(aPart.mPart, known->second));
     }
-  };
-  if (isKnown && held.mWasSound && !known->second.mWasSound) {
-    shorten(known->second);
-    mChanges.push_back(ChangeOf(aPart.mPart, known->second));
-  } else if (!held.mWasSound &&
-             (isKnown ? known->second.mWasSound : WasSound(aPart.mPart))) {
-    shorten(held);
+  } else if (isKnown ? known->second.mWasSound : WasSound(aPart.mPart)) {
+    held.LearnThatItWasSound(aNow);
   }
   if (isKnown && std::pair(held.mCrashes, held.mHold) <=
                    std::pair(known->second.mCrashes, known->second.mHold)) {
--- a/Source/Serving/PromptQuarantine.h
+++ b/Source/Serving/PromptQuarantine.h
@@ -163,8 +163,10 @@
     }
     /// The hold after a crash in a test.
     Duration NextHold() const;
-    /// Another host knows of answers before the first crash.
-    void LearnThatItWasSound();
+    /// Answers before the first crash are known now: shortens the hold, unless
+    /// a test has prolonged it. It ends at aNow at the earliest, or many hosts
+    /// could test the part at once. Returns whether it was shortened.
+    bool LearnThatItWasSound(MonotonicTime aNow);
   };
 
   void Add(const Crash& aCrash, const Parts& aParts, MonotonicTime aNow);
--- a/Tests/Serving/PromptQuarantineTest.cxx
+++ b/Tests/Serving/PromptQuarantineTest.cxx
@@ -624,6 +624,9 @@
       Quarantine(tested, 0);
       tested.OnCrash("e9", { "bad" }, At(63000), At(63000));
       tested.Merge(report, At(64000));
+      tested.Update(At(64000));
+      tested.Merge(report, At(65000));
+      CPPUNIT_ASSERT(tested.Update(At(65000)).empty());
       CPPUNIT_ASSERT(tested.Find({ "bad" }, At(182000)));
       CPPUNIT_ASSERT(!tested.Find({ "bad" }, At(184000)));
     });
