--- a/review/standins.py
+++ b/review/standins.py
@@ -384,12 +384,13 @@
         )
         self.site.record("entry_started", entry=self.name, pid=self.process.pid)
 
-    def rss_mb(self):
+    def memory_mb(self):
+        """The process's own memory, without files and libraries."""
         try:
             text = pathlib.Path(f"/proc/{self.process.pid}/status").read_text()
         except OSError:
             return 0.0
-        found = re.search(r"VmRSS:\s+(\d+) kB", text)
+        found = re.search(r"RssAnon:\s+(\d+) kB", text)
         return int(found[1]) / 1024 if found else 0.0
 
     def is_up(self):
