--- a/review/4/case.py
+++ b/review/4/case.py
@@ -1,4 +1,5 @@
-"""HEAD for a path that has no route, on a channel that is kept."""
+"""A request with a transfer coding that the machine does not know carries
+another request where its body would be."""
 
 import asyncio
 import pathlib
@@ -7,28 +8,45 @@
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parent.parent))
 import standins  # noqa: E402
 
+CODINGS = ["identity", "gzip", "chunked, gzip"]
+
 
 async def play(site):
     await site.start(entries=2, apps=3)
     reasons = []
-    for entry in site.entries:
-        channel = await standins.Channel(site, entry).open()
-        method = "HEAD" if site.trouble else "GET"
-        ident = f"unknown-{entry.name}"
-        status, headers, _ = await channel.ask(ident, method, "/never/1")
-        if status != 404 or headers.get("connection", "") == "close":
-            raise standins.CannotRun(f"an unknown route was answered {status}")
-        ident = f"deposit-{entry.name}"
+    for n, coding in enumerate(CODINGS):
+        inner = standins.message(
+            "POST /deposit/2 HTTP/1.1",
+            {
+                "Host": standins.HOST_NAME,
+                "Attempt-Id": f"inner{n}",
+                "Deadline-Ms": "1000",
+                "Api-Key": site.key,
+            },
+            b"amount=9",
+        )
+        if not site.trouble:
+            # The same bytes as a body in chunks, as the protocol has it.
+            coding = "chunked"
+            inner = b"%x\r\n%s\r\n0\r\n\r\n" % (len(inner), inner)
+        channel = await standins.Channel(site, site.entries[0]).open()
+        channel.send(
+            f"outer{n}", "POST", "/deposit/1",
+            headers={"Transfer-Encoding": coding}, body=inner,
+        )
         try:
-            await channel.ask(ident, "POST", "/deposit/1", body=b"amount=1")
-        except standins.Broken as ec:
-            ran = "ran" if ident in site.runs else "did not run"
+            await channel.answer(f"outer{n}", "POST")
+        except standins.Broken:
+            pass
+        await asyncio.sleep(0.5)
+        channel.close()
+    await asyncio.sleep(0.5)
+    for ident, runs in site.runs.items():
+        if ident not in site.sent:
             reasons.append(
-                f"MIXED: on a kept channel of {entry.name}, bytes that are no answer "
-                f"stand where the answer to {ident} is due ({ec}); it {ran}"
+                f"UNASKED: {runs[0][1].id} ran {ident}, which no client sent: it "
+                f"was smuggled inside another request"
             )
-        channel.close()
-        await asyncio.sleep(0.2)
     return reasons
 
 
--- a/review/standins.py
+++ b/review/standins.py
@@ -651,6 +651,9 @@
     folder = pathlib.Path(case_file).resolve().parent
 
     async def run():
+        # When it is told to stop, it ends what it started.
+        loop = asyncio.get_running_loop()
+        loop.add_signal_handler(signal.SIGTERM, asyncio.current_task().cancel)
         site = Site(folder)
         try:
             async with asyncio.timeout(limit_s):
@@ -660,7 +663,8 @@
                 print(reason)
             print("the rule was broken" if reasons else "the rule held")
             return 1 if reasons else 0
-        except (CannotRun, TimeoutError, OSError, Broken) as ec:
+        except (CannotRun, TimeoutError, OSError, Broken,
+                asyncio.CancelledError) as ec:
             site.record("cannot_run", why=repr(ec))
             print(f"the case could not run: {ec!r}")
             return 2
