Entry: Refuse requests that do not tell where their body ends

Cause: the parser takes a request whose last coding is not chunked for one without a body, and IsAmbiguous() looked at codings only beside a length.

Ruled out: the read-ahead during a request, as the inner request ran also when all came in one segment; the target's side, which got two whole requests.

Change: a coding must be a single "chunked" in an HTTP/1.1 request without a length. All else gets 400, or 501 where chunks mark the end around another coding, and the connection ends (RFC 9112, 6.1 and 6.3).

--- a/Source/Core/HttpStatus.h
+++ b/Source/Core/HttpStatus.h
@@ -17,6 +17,7 @@
 inline constexpr int kStatusUnprocessable = 422;
 inline constexpr int kStatusTooMany = 429;
 inline constexpr int kStatusHeaderTooLarge = 431;
+inline constexpr int kStatusNotImplemented = 501;
 inline constexpr int kStatusBadGateway = 502;
 inline constexpr int kStatusUnavailable = 503;
 inline constexpr int kStatusTimeout = 504;
--- a/Source/Entry/CallerSession.cxx
+++ b/Source/Entry/CallerSession.cxx
@@ -199,8 +199,19 @@
     co_return false;
   }
   aRequest.mArrived = mContext.Now();
-  if (IsAmbiguous(parser.get())) {
-    co_await Reject(aRequest, kStatusBadRequest, "ambiguous request");
+  if (parser.get().count(http::field::host) != 1) {
+    co_await Reject(aRequest, kStatusBadRequest, "not exactly one Host header");
+    co_return false;
+  }
+  if (const auto framing = FramingOf(parser.get(), parser.get().version());
+      framing != BodyFraming::kClear) {
+    if (framing == BodyFraming::kUnknownCoding) {
+      co_await Reject(
+        aRequest, kStatusNotImplemented, "unsupported transfer coding");
+    } else {
+      co_await Reject(
+        aRequest, kStatusBadRequest, "the end of the body is ambiguous");
+    }
     co_return false;
   }
   if (mContext.mBufferedBytes > kMaxBufferedBytes) {
--- a/Source/Entry/HttpHeaders.cxx
+++ b/Source/Entry/HttpHeaders.cxx
@@ -6,6 +6,13 @@
 
 namespace ragwortdeck {
 
+namespace {
+
+constexpr unsigned kHttp11 = 11;
+constexpr const char* kChunked = "chunked";
+
+} // namespace
+
 bool
 IsConnectionHeader(std::string_view aName)
 {
@@ -36,13 +43,27 @@
   }
 }
 
-bool
-IsAmbiguous(const http::fields& aFields)
+BodyFraming
+FramingOf(const http::fields& aFields, unsigned aVersion)
 {
-  return aFields.count(http::field::host) != 1 ||
-         aFields.count(http::field::content_length) > 1 ||
-         (aFields.count(http::field::content_length) == 1 &&
-          aFields.count(http::field::transfer_encoding) > 0);
+  const auto lengths = aFields.count(http::field::content_length);
+  const auto codings = aFields.count(http::field::transfer_encoding);
+  if (codings == 0) {
+    return lengths > 1 ? BodyFraming::kAmbiguous : BodyFraming::kClear;
+  }
+  // HTTP/1.0 has no transfer codings (RFC 9112, 6.1).
+  if (lengths > 0 || codings > 1 || aVersion < kHttp11) {
+    return BodyFraming::kAmbiguous;
+  }
+  const auto value = aFields[http::field::transfer_encoding];
+  if (beast::iequals(value, kChunked)) {
+    return BodyFraming::kClear;
+  }
+  const auto last = value.substr(value.rfind(',') + 1);
+  const auto begin = std::min(last.find_first_not_of(" \t"), last.size());
+  return beast::iequals(last.substr(begin), kChunked)
+           ? BodyFraming::kUnknownCoding
+           : BodyFraming::kAmbiguous;
 }
 
 int
--- a/Source/Entry/HttpHeaders.h
+++ b/Source/Entry/HttpHeaders.h
@@ -18,10 +18,21 @@
             http::fields& aTo,
             const std::function<bool(std::string_view)>& aDrop);
 
-/// True when the request has not exactly one Host header, or frames its body
-/// in more than one way.
-bool
-IsAmbiguous(const http::fields& aFields);
+/// \brief Whether the headers of a message tell where its body ends.
+enum class BodyFraming
+{
+  kClear,
+  /// They state it in more than one way, or name transfer codings after which
+  /// the end is not marked. What follows must not be read as another message.
+  kAmbiguous,
+  /// Chunks mark the end, but what they carry has another coding as well.
+  kUnknownCoding,
+};
+
+/// Returns the framing of a message of HTTP/1.(aVersion - 10). The parser takes
+/// a message whose codings it does not know for one without a coding.
+BodyFraming
+FramingOf(const http::fields& aFields, unsigned aVersion);
 
 /// The seconds N of "Keep-Alive: timeout=N"; 0 when absent.
 int
