Entry: Take no answer in an unknown transfer coding for a whole one

What callers saw: an answer of a target with Transfer-Encoding gzip, identity or "gzip, chunked" reached the caller with status 200 and the target's signature, its coded bytes as the body.

Cause: the parser takes such an answer for one that ends with the connection or after Content-Length, and the coding is not forwarded.

Change: ReadAnswerHeader() and CallClient, through which all answers of targets and of the store pass, ask FramingOf(); an answer that is not clearly framed is broken, and its connection is not used again.

--- a/Source/Entry/CallClient.cxx
+++ b/Source/Entry/CallClient.cxx
@@ -51,6 +51,10 @@
     parser->body_limit(kMaxAnswerBytes);
     co_await http::async_read(
       connection->mStream, connection->mBuffer, *parser, RedirectError(ec));
+    if (!ec && FramingOf(parser->get(), parser->get().version()) !=
+                 BodyFraming::kClear) {
+      ec = http::error::bad_transfer_encoding;
+    }
     if (ec || parser->get().result_int() >= kStatusOk) {
       break;
     }
--- a/Source/Entry/TargetExchange.cxx
+++ b/Source/Entry/TargetExchange.cxx
@@ -1,6 +1,7 @@
 #include "Entry/TargetExchange.h"
 
 #include "Core/HttpStatus.h"
+#include "Entry/HttpHeaders.h"
 
 #include <limits>
 
@@ -111,6 +112,12 @@
     if (ec) {
       co_return ec;
     }
+    // A caller would get the coded bytes, or the bytes of another answer, as
+    // the whole body.
+    if (FramingOf(aParser->get(), aParser->get().version()) !=
+        BodyFraming::kClear) {
+      co_return http::error::bad_transfer_encoding;
+    }
     const auto status = aParser->get().result_int();
     if (status < kStatusOk) {
       continue;
--- a/Tests/Entry/MessageFramingTest.cxx
+++ b/Tests/Entry/MessageFramingTest.cxx
@@ -11,6 +11,8 @@
 {
   CPPUNIT_TEST_SUITE(MessageFramingTest);
   CPPUNIT_TEST(TestRequestInsideAnother);
+  CPPUNIT_TEST(TestAnswerInAnUnknownCoding);
+  CPPUNIT_TEST(TestReplyInAnUnknownCoding);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -111,6 +113,106 @@
       CPPUNIT_ASSERT(target.Requests().front().ends_with("\r\n\r\n" + inner));
     });
   }
+
+  /// Guards against a caller that gets the coded bytes of an answer as its
+  /// whole body, and against an answer that hides in the body of another.
+  void TestAnswerInAnUnknownCoding()
+  {
+    const auto reply = [](const std::string& aKind, const std::string& aRest) {
+      RelayWorld world;
+      auto& target = world.AddTarget("t1");
+      target.AddScript([&](tcp::socket& aSocket, const std::string&) {
+        WriteAll(aSocket,
+                 "HTTP/1.1 200 OK\r\nAttempt-Id: id1\r\n"
+                 "Response-Seal: s\r\n" +
+                   aRest);
+        return false;
+      });
+      world.Start();
+      const auto caller = world.Call(RelayWorld::Request(aKind, "id1"));
+      return world.Reply(*caller, kEndOfStream);
+    };
+    const auto isBroken = [&](const std::string& aKind,
+                              const std::string& aRest) {
+      const auto text = reply(aKind, aRest);
+      CPPUNIT_ASSERT_MESSAGE(aRest + " gave " + text,
+                             text.starts_with("HTTP/1.1 502"));
+      CPPUNIT_ASSERT_MESSAGE(aRest, !Contains(text, "coded"));
+    };
+    const std::string name = "Transfer-Encoding: ";
+    const std::string length = "Content-Length: 5\r\n";
+    const std::string inChunks = "\r\n5\r\ncoded\r\n0\r\n\r\n";
+    Section("that ends with the connection", [&] {
+      for (const auto* value : { "gzip", "identity", "chunked, gzip", "" }) {
+        isBroken("unsafe", name + value + "\r\n\r\ncoded");
+      }
+    });
+    Section("that has a length as well", [&] {
+      isBroken("unsafe", name + "gzip\r\n" + length + "\r\ncoded");
+      isBroken("unsafe", length + name + "identity\r\n\r\ncoded");
+    });
+    Section("inside of chunks", [&] {
+      isBroken("unsafe", name + "gzip, chunked\r\n" + inChunks);
+      isBroken("unsafe", name + "gzip\r\n" + name + "chunked\r\n" + inChunks);
+    });
+    Section("of a stream", [&] {
+      const std::string type = "Content-Type: text/event-stream\r\n";
+      const std::string event = "id: 1\ndata: coded\n\n";
+      isBroken("long", type + name + "gzip\r\n\r\n" + event);
+      isBroken("long",
+               type + name + "gzip, chunked\r\n\r\n" + RelayWorld::Event(1) +
+                 "0\r\n\r\n");
+    });
+    Section("a late answer, which hides another one, ends the connection", [&] {
+      RelayWorld world;
+      const auto hidden = RelayWorld::Answer("id1", "hidden");
+      world.AddTarget("t1").AddScript(
+        [&](tcp::socket& aSocket, const std::string&) {
+          WriteAll(aSocket,
+                   "HTTP/1.1 200 OK\r\nAttempt-Id: other\r\n" + name +
+                     "gzip\r\nContent-Length: 0\r\n\r\n" + hidden);
+          return false;
+        });
+      world.Start();
+      const auto caller = world.Call(RelayWorld::Request("unsafe", "id1"));
+      CPPUNIT_ASSERT(
+        world.Reply(*caller, "\r\n\r\n").starts_with("HTTP/1.1 502"));
+    });
+    Section("chunks alone are read", [&] {
+      const auto text = reply("unsafe", name + "chunked\r\n" + inChunks);
+      CPPUNIT_ASSERT(text.starts_with("HTTP/1.1 200"));
+      CPPUNIT_ASSERT(text.ends_with("\r\n\r\ncoded"));
+    });
+  }
+
+  /// Guards against the bytes of a coding that are taken for the store's or an
+  /// engine's reply.
+  void TestReplyInAnUnknownCoding()
+  {
+    for (const auto* framing :
+         { "Transfer-Encoding: gzip\r\nContent-Length: 2\r\n",
+           "Transfer-Encoding: identity\r\n" }) {
+      RelayWorld world;
+      auto& target = world.AddTarget("t1");
+      target.AddScript([&](tcp::socket& aSocket, const std::string&) {
+        WriteAll(aSocket,
+                 "HTTP/1.1 200 OK\r\n" + std::string(framing) + "\r\n{}");
+        return false;
+      });
+      std::optional<bool> succeeded;
+      world.Context().Spawn(
+        "call",
+        [](EntryContext& aContext,
+           Endpoint aTo,
+           std::optional<bool>& aSucceeded) -> Task<void> {
+          const auto reply = co_await aContext.mCalls.Call(
+            aTo, aContext.mCodec.ReportCall(), Milliseconds(5000));
+          aSucceeded = bool(reply);
+        }(world.Context(), target.Describe("s").mEndpoint, succeeded));
+      world.RunUntil([&] { return succeeded.has_value(); });
+      CPPUNIT_ASSERT_MESSAGE(framing, !*succeeded);
+    }
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(MessageFramingTest);
