Filters: Refuse headers whose names or values parsers read differently

What callers saw: a request to the router with Content-Length and "Transfer-Encoding : chunked" got two answers, the second to bytes of its own body.

Cause: RequestScanner took the odd name for another header and framed the request by its length; QHttpServer trims the name and framed it by chunks.

Change: a name must be a token, a value must have no control characters, and chunks need HTTP/1.1 (RFC 9112, 5 and 6.1); else 400 and the connection ends.

New lines of TestAmbiguousFraming passed before too.

--- a/Source/Filters/RequestScanner.cxx
+++ b/Source/Filters/RequestScanner.cxx
@@ -11,6 +11,7 @@
 constexpr std::size_t kMaxChunkLineBytes = 256;
 constexpr int kHexBase = 16;
 constexpr int kDecimalBase = 10;
+constexpr std::string_view kTokenMarks = "!#$%&'*+-.^_`|~";
 
 std::string
 ToLower(std::string_view aText)
@@ -33,6 +34,27 @@
   return aText.substr(first, aText.find_last_not_of(" \t") - first + 1);
 }
 
+/// Whether aText may name a header field (RFC 9110, 5.6.2).
+bool
+IsToken(std::string_view aText)
+{
+  return !aText.empty() &&
+         std::all_of(aText.begin(), aText.end(), [](unsigned char aByte) {
+           return aByte < 0x80 &&
+                  (std::isalnum(aByte) != 0 ||
+                   kTokenMarks.find(char(aByte)) != std::string_view::npos);
+         });
+}
+
+/// Whether aText has no control characters but tabs.
+bool
+IsFieldValue(std::string_view aText)
+{
+  return std::none_of(aText.begin(), aText.end(), [](unsigned char aByte) {
+    return aByte != '\t' && (aByte < 0x20 || aByte == 0x7f);
+  });
+}
+
 bool
 ParseNumber(std::string_view aText, int aBase, std::uint64_t& aValue)
 {
@@ -107,13 +129,14 @@
     return;
   }
   const auto colon = mLine.find(':');
-  // Continuation lines are obsolete and make the framing ambiguous.
-  if (colon == std::string::npos || mLine.front() == ' ' ||
-      mLine.front() == '\t') {
+  const std::string_view line = mLine;
+  // Another parser may trim an odd name or value to one that frames the body.
+  // Continuation lines, which are obsolete, have no token before a colon.
+  if (colon == std::string::npos || !IsToken(line.substr(0, colon)) ||
+      !IsFieldValue(line.substr(colon + 1))) {
     mState = State::kMalformed;
     return;
   }
-  const std::string_view line = mLine;
   AcceptField(line.substr(0, colon), Trim(line.substr(colon + 1)));
 }
 
@@ -143,8 +166,9 @@
 RequestScanner::EndHeader()
 {
   mWantsClose = mWantsClose || mIsHttp10;
-  // Both framings together allow request smuggling (RFC 9112, 6.1).
-  if (mIsChunked && mHasLength) {
+  // Both framings together, or chunks in a version that has none, allow request
+  // smuggling (RFC 9112, 6.1).
+  if (mIsChunked && (mHasLength || mIsHttp10)) {
     mState = State::kMalformed;
   } else if (mIsChunked) {
     mState = State::kBody;
--- a/Tests/Filters/CallerConnectionsTest.cxx
+++ b/Tests/Filters/CallerConnectionsTest.cxx
@@ -74,6 +74,7 @@
 {
   CPPUNIT_TEST_SUITE(CallerConnectionsTest);
   CPPUNIT_TEST(TestRefusedWhileSending);
+  CPPUNIT_TEST(TestRequestInsideAnother);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -110,6 +111,34 @@
     });
   }
 
+  /// Guards against a body that is served as another request, because the
+  /// router's two parsers read a framing header differently.
+  void TestRequestInsideAnother()
+  {
+    RouterSite site;
+    auto settings = site.Settings();
+    // A connection that is not refused ends by this.
+    settings.mConnections.mIdle = 500ms;
+    settings.mConnections.mRequest = 500ms;
+    const auto router = site.MakeRouter(settings);
+    const std::string inner = "GET /v1/inner HTTP/1.1\r\nHost: a\r\n\r\n";
+    const std::string body = "0\r\n\r\n" + inner;
+    const auto length =
+      "Content-Length: " + std::to_string(body.size()) + "\r\n";
+    for (const std::string odd : { "Transfer-Encoding : chunked\r\n",
+                                   "Transfer-Encoding\t:chunked\r\n",
+                                   "Transfer-Encoding: \vchunked\r\n",
+                                   "A: b\rTransfer-Encoding: chunked\r\n" }) {
+      const BlockingCaller caller(*router);
+      CPPUNIT_ASSERT(caller.Send("POST /v1/outer HTTP/1.1\r\nHost: a\r\n" +
+                                 length + odd + "\r\n" + body));
+      const auto answer = caller.ReadAll().value_or("reset");
+      CPPUNIT_ASSERT_MESSAGE(odd + answer, answer.starts_with("HTTP/1.1 400 "));
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(
+        odd + answer, answer.find("HTTP/1.1 "), answer.rfind("HTTP/1.1 "));
+    }
+  }
+
 private:
   std::unique_ptr<RcuReaderThread> mReader;
 };
--- a/Tests/Filters/RequestScannerTest.cxx
+++ b/Tests/Filters/RequestScannerTest.cxx
@@ -45,6 +45,7 @@
   CPPUNIT_TEST(TestWholeRequests);
   CPPUNIT_TEST(TestOversized);
   CPPUNIT_TEST(TestAmbiguousFraming);
+  CPPUNIT_TEST(TestOddHeaderNames);
   CPPUNIT_TEST(TestFuzz);
   CPPUNIT_TEST(TestResponseIds);
   CPPUNIT_TEST_SUITE_END();
@@ -89,6 +90,15 @@
          { "Content-Length: 3\r\nContent-Length: 3",
            "Content-Length: 3\r\nTransfer-Encoding: chunked",
            "Transfer-Encoding: gzip, chunked",
+           "Transfer-Encoding: chunked, gzip",
+           "Transfer-Encoding: identity",
+           "Transfer-Encoding: gzip",
+           "Transfer-Encoding: chunked;q=1",
+           "Transfer-Encoding:",
+           "Transfer-Encoding: chunked\r\nTransfer-Encoding: gzip",
+           "Content-Length:",
+           "Content-Length: +3",
+           "Content-Length: 3, 3",
            "Content-Length: -1",
            "Content-Length: 3x",
            "A: b\r\n continued" }) {
@@ -97,6 +107,43 @@
     }
   }
 
+  /// Guards against a framing header that this scanner takes for another one,
+  /// and a later parser does not, so that a body is read as a request.
+  void TestOddHeaderNames()
+  {
+    for (const auto* line : { "Transfer-Encoding : chunked",
+                              "Transfer-Encoding\t: chunked",
+                              "Transfer-Encoding\v: chunked",
+                              "Content-Length : 3",
+                              "\vContent-Length: 3",
+                              "Content-Length\r: 3",
+                              ": chunked",
+                              "A B: c",
+                              "A\x80: c" }) {
+      AssertScan(State::kMalformed,
+                 "POST / HTTP/1.1\r\n" + std::string(line) + "\r\n\r\n");
+    }
+    Section("control characters in a value", [&] {
+      for (const auto* line : { "Transfer-Encoding: \vchunked",
+                                "A: b\rTransfer-Encoding: chunked",
+                                "A: b\x7f" }) {
+        AssertScan(State::kMalformed,
+                   "POST / HTTP/1.1\r\n" + std::string(line) + "\r\n\r\n");
+      }
+      AssertScan(State::kMalformed,
+                 std::string("POST / HTTP/1.1\r\nA: b\0\r\n\r\n", 26));
+    });
+    Section("every character that a name may have", [&] {
+      AssertScan(State::kComplete,
+                 "POST / HTTP/1.1\r\nX-!#$%&'*+.^_`|~09azAZ: \t\xc3\xa9\r\n"
+                 "\r\n");
+    });
+    Section("a coding in a version that has none", [&] {
+      AssertScan(State::kMalformed,
+                 "POST / HTTP/1.0\r\nTransfer-Encoding: chunked\r\n\r\n");
+    });
+  }
+
   /// Guards against crashes and against input that passes a limit.
   void TestFuzz()
   {
