Serving: Deny all keys while the table's list of teams is empty

Cause: the table kept its teams in a vector, and HasTeams() took an empty list for a table that requires no keys; the codec made one of both.

Ruled out: a table that was late, as both hosts had applied it; a stale proof, as requests ran 10 s after the bound.

Change: the list is optional. Absent means that no key is required, empty that none is accepted.

Tests that pass a list now name its type, since {} means no list.

--- a/Source/Serving/CachedTable.cxx
+++ b/Source/Serving/CachedTable.cxx
@@ -32,7 +32,7 @@
   if (!mTable) {
     return false;
   }
-  if (mBounds.mMaxKeyedAge.count() == 0 || !mTable->HasTeams()) {
+  if (mBounds.mMaxKeyedAge.count() == 0 || !mTable->RequiresKeys()) {
     return true;
   }
   return mConfirmedAt && aNow - *mConfirmedAt < mBounds.mMaxKeyedAge;
@@ -55,7 +55,7 @@
     admission.mDenial = isRecent ? Denial::kNoRoute : Denial::kTableNotCurrent;
     return admission;
   }
-  if (!mTable->HasTeams() || route->mPublic) {
+  if (!mTable->RequiresKeys() || route->mPublic) {
     admission.mRoute = route;
     return admission;
   }
--- a/Source/Serving/CachedTable.h
+++ b/Source/Serving/CachedTable.h
@@ -24,7 +24,7 @@
 {
   /// Null when denied.
   const Route* mRoute = nullptr;
-  /// Null on public routes and when the table has no teams.
+  /// Null on public routes and when the table requires no keys.
   const TeamSpec* mTeam = nullptr;
   Denial mDenial = Denial::kTableNotCurrent;
 };
--- a/Source/Serving/ServingTable.cxx
+++ b/Source/Serving/ServingTable.cxx
@@ -48,7 +48,7 @@
                      std::vector<Route> aRoutes,
                      std::vector<ServiceSpec> aServices,
                      CallerLimits aLimits,
-                     std::vector<TeamSpec> aTeams)
+                     std::optional<std::vector<TeamSpec>> aTeams)
 {
   ServingTable table;
   table.mVersion = aVersion;
@@ -72,9 +72,12 @@
     table.mServices.emplace(std::move(name), std::move(service));
   }
   table.mTeams = std::move(aTeams);
-  for (std::size_t i = 0; i < table.mTeams.size(); ++i) {
-    for (const auto& key : table.mTeams[i].mKeys) {
-      table.mKeys.emplace(key, i);
+  if (table.mTeams) {
+    const auto& teams = *table.mTeams;
+    for (std::size_t i = 0; i < teams.size(); ++i) {
+      for (const auto& key : teams[i].mKeys) {
+        table.mKeys.emplace(key, i);
+      }
     }
   }
   return table;
@@ -111,7 +114,7 @@
 ServingTable::FindTeam(const std::string& aKey) const
 {
   const auto it = mKeys.find(aKey);
-  return it == mKeys.end() ? nullptr : &mTeams[it->second];
+  return it == mKeys.end() ? nullptr : &(*mTeams)[it->second];
 }
 
 const std::string&
--- a/Source/Serving/ServingTable.h
+++ b/Source/Serving/ServingTable.h
@@ -126,12 +126,13 @@
                              std::vector<Route> aRoutes,
                              std::vector<ServiceSpec> aServices,
                              CallerLimits aLimits,
-                             std::vector<TeamSpec> aTeams);
+                             std::optional<std::vector<TeamSpec>> aTeams);
 
   std::int64_t Version() const { return mVersion; }
   const CallerLimits& Limits() const { return mLimits; }
-  /// False when the table has no teams; requests then need no key.
-  bool HasTeams() const { return !mTeams.empty(); }
+  /// Whether requests need the key of a team, except on public routes. A table
+  /// with an empty list of teams admits no key; one without a list needs none.
+  bool RequiresKeys() const { return mTeams.has_value(); }
 
   /// The route of aHost with the longest path prefix that matches aPath; null
   /// if none.
@@ -148,7 +149,7 @@
   std::vector<Route> mRoutes;
   std::map<std::string, ServiceSpec> mServices;
   CallerLimits mLimits;
-  std::vector<TeamSpec> mTeams;
+  std::optional<std::vector<TeamSpec>> mTeams;
   /// Maps a key to the index of its team in mTeams.
   std::map<std::string, std::size_t> mKeys;
 };
--- a/Tests/Entry/RelayWorld.cxx
+++ b/Tests/Entry/RelayWorld.cxx
@@ -220,12 +220,12 @@
     it.mEventGapGoal = mEventGapGoal;
   }
   mEntry->mTable.Apply(
-    std::make_shared<const ServingTable>(
-      ServingTable::Create(1,
-                           std::move(routes),
-                           { { "s", 100, mEngine } },
-                           {},
-                           { { "team", { "secret" }, std::nullopt } })),
+    std::make_shared<const ServingTable>(ServingTable::Create(
+      1,
+      std::move(routes),
+      { { "s", 100, mEngine } },
+      {},
+      std::vector<TeamSpec>{ { "team", { "secret" }, std::nullopt } })),
     1);
   mEntry->mTable.ConfirmCurrent(1, mEntry->Now() + std::chrono::hours(1));
   TargetList list;
--- a/Tests/Entry/TableChangeTest.cxx
+++ b/Tests/Entry/TableChangeTest.cxx
@@ -28,13 +28,14 @@
     world.Start();
     const auto applyLimits = [&](std::int64_t aVersion, CallerLimits aLimits) {
       auto& table = world.Context().mTable;
-      table.Apply(std::make_shared<const ServingTable>(ServingTable::Create(
-                    aVersion,
-                    { *table.Table()->FindRoute("shop.example", "/unsafe/x") },
-                    { { "s", 100, std::nullopt } },
-                    aLimits,
-                    { { "team", { "secret" }, std::nullopt } })),
-                  aVersion);
+      table.Apply(
+        std::make_shared<const ServingTable>(ServingTable::Create(
+          aVersion,
+          { *table.Table()->FindRoute("shop.example", "/unsafe/x") },
+          { { "s", 100, std::nullopt } },
+          aLimits,
+          std::vector<TeamSpec>{ { "team", { "secret" }, std::nullopt } })),
+        aVersion);
       table.ConfirmCurrent(aVersion,
                            world.Context().Now() + std::chrono::hours(1));
     };
@@ -58,9 +59,14 @@
     // The new table has neither the route nor the key.
     const auto changeTable = [](RelayWorld& aWorld) {
       auto& table = aWorld.Context().mTable;
-      table.Apply(std::make_shared<const ServingTable>(ServingTable::Create(
-                    2, {}, {}, {}, { { "other", { "new" }, std::nullopt } })),
-                  2);
+      table.Apply(
+        std::make_shared<const ServingTable>(ServingTable::Create(
+          2,
+          {},
+          {},
+          {},
+          std::vector<TeamSpec>{ { "other", { "new" }, std::nullopt } })),
+        2);
       table.ConfirmCurrent(2, aWorld.Context().Now() + std::chrono::hours(1));
     };
     Section("a plain request at its server", [&] {
--- a/Tests/FleetCodec/FleetCodecTest.cxx
+++ b/Tests/FleetCodec/FleetCodecTest.cxx
@@ -63,6 +63,7 @@
 {
   CPPUNIT_TEST_SUITE(FleetCodecTest);
   CPPUNIT_TEST(TestTable);
+  CPPUNIT_TEST(TestTableWithoutTeams);
   CPPUNIT_TEST(TestHosts);
   CPPUNIT_TEST(TestHugeNumbers);
   CPPUNIT_TEST(TestTargets);
@@ -101,6 +102,34 @@
     });
   }
 
+  /// Guards against a list of teams that is read as if the table had none.
+  void TestTableWithoutTeams()
+  {
+    const FleetCodec codec;
+    const auto read = [&](const std::string& aTeams) {
+      return codec.ReadTable(R"({"version":1,"routes":[],"services":[])" +
+                             aTeams + "}");
+    };
+    Section("no list: requests need no key",
+            [&] { CPPUNIT_ASSERT(!read("").value().RequiresKeys()); });
+    Section("an empty list, or a team without keys: no key is accepted", [&] {
+      for (const auto* teams :
+           { R"(,"tenants":[])",
+             R"(,"tenants":[{"name":"t"}])",
+             R"(,"tenants":[{"name":"t","api_keys":[]}])" }) {
+        const auto table = read(teams).value();
+        CPPUNIT_ASSERT_MESSAGE(teams, table.RequiresKeys());
+        CPPUNIT_ASSERT_MESSAGE(teams, !table.FindTeam("k"));
+      }
+    });
+    Section("what is no list is an invalid table", [&] {
+      for (const auto* teams : { "null", "{}", "0", "false", "\"\"" }) {
+        CPPUNIT_ASSERT_MESSAGE(teams,
+                               !read(R"(,"tenants":)" + std::string(teams)));
+      }
+    });
+  }
+
   void TestHosts()
   {
     const FleetCodec codec;
--- a/Tests/Serving/TableTest.cxx
+++ b/Tests/Serving/TableTest.cxx
@@ -29,7 +29,7 @@
 }
 
 std::shared_ptr<const ServingTable>
-MakeTable(std::int64_t aVersion, std::vector<TeamSpec> aTeams)
+MakeTable(std::int64_t aVersion, std::optional<std::vector<TeamSpec>> aTeams)
 {
   auto open = MakeRoute("/open/", "s");
   open.mPublic = true;
@@ -62,6 +62,7 @@
   CPPUNIT_TEST(TestWeightedServices);
   CPPUNIT_TEST(TestTableVersions);
   CPPUNIT_TEST(TestTableAge);
+  CPPUNIT_TEST(TestTableThatRevokesAllKeys);
   CPPUNIT_TEST(TestLeavingTargets);
   CPPUNIT_TEST(TestRestartedTargets);
   CPPUNIT_TEST(TestReportOfUnlistedTarget);
@@ -120,7 +121,9 @@
       CPPUNIT_ASSERT(!admission.mRoute &&
                      admission.mDenial == Denial::kTableNotCurrent);
     });
-    cached.Apply(MakeTable(1, { { "team", { "k" }, std::nullopt } }), 5);
+    cached.Apply(
+      MakeTable(1, std::vector<TeamSpec>{ { "team", { "k" }, std::nullopt } }),
+      5);
     cached.ConfirmCurrent(5, At(10000));
     const auto admit = [&](const char* aPath, const char* aKey, int aMs) {
       return cached.Admit("shop.example", aPath, aKey, At(aMs));
@@ -148,6 +151,46 @@
     });
   }
 
+  /// Guards against routes that are open to everybody once all teams, or all
+  /// keys, are removed.
+  void TestTableThatRevokesAllKeys()
+  {
+    const std::vector<TeamSpec> withKey = { { "team", { "k" }, std::nullopt } };
+    const auto admit = [&](std::optional<std::vector<TeamSpec>> aTeams,
+                           const char* aPath,
+                           const char* aKey,
+                           int aMs) {
+      CachedTable cached({ milliseconds(4700), milliseconds(1700) });
+      cached.Apply(MakeTable(1, withKey), 1);
+      cached.Apply(MakeTable(2, std::move(aTeams)), 2);
+      cached.ConfirmCurrent(2, At(10000));
+      return cached.Admit("shop.example", aPath, aKey, At(aMs));
+    };
+    const std::vector<TeamSpec> noTeam;
+    const std::vector<TeamSpec> noKeys = { { "team", {}, std::nullopt } };
+    for (const auto& teams : { noTeam, noKeys }) {
+      Section("a removed key, one that never was, and none are denied", [&] {
+        for (const auto* key : { "k", "x", "" }) {
+          const auto admission = admit(teams, "/a/", key, 11000);
+          CPPUNIT_ASSERT(!admission.mRoute);
+          CPPUNIT_ASSERT(admission.mDenial == Denial::kUnknownKey);
+        }
+      });
+      Section("once the table may be out of date, they are refused", [&] {
+        const auto admission = admit(teams, "/a/", "k", 14700);
+        CPPUNIT_ASSERT(!admission.mRoute);
+        CPPUNIT_ASSERT(admission.mDenial == Denial::kTableNotCurrent);
+      });
+      Section("public routes are served", [&] {
+        CPPUNIT_ASSERT(admit(teams, "/open/", "", 14700).mRoute);
+      });
+    }
+    Section("a table without a list of teams requires no key", [&] {
+      const auto admission = admit(std::nullopt, "/a/", "", 14700);
+      CPPUNIT_ASSERT(admission.mRoute && !admission.mTeam);
+    });
+  }
+
   void TestLeavingTargets()
   {
     TargetDirectory directory;
