Serving: Let no team own the empty key

What callers would see: with an empty text among a team's keys, requests that carry no key run as that team.

Cause: a request without a key is looked up with an empty one.

Evidence: the new sections of TableTest::TestTableThatRevokesAllKeys failed without the check and pass.

--- a/Source/Serving/ServingTable.cxx
+++ b/Source/Serving/ServingTable.cxx
@@ -76,7 +76,10 @@
     const auto& teams = *table.mTeams;
     for (std::size_t i = 0; i < teams.size(); ++i) {
       for (const auto& key : teams[i].mKeys) {
-        table.mKeys.emplace(key, i);
+        // A request without a key is looked up with an empty one.
+        if (!key.empty()) {
+          table.mKeys.emplace(key, i);
+        }
       }
     }
   }
--- a/Source/Serving/ServingTable.h
+++ b/Source/Serving/ServingTable.h
@@ -138,7 +138,7 @@
   /// if none.
   const Route* FindRoute(std::string_view aHost, std::string_view aPath) const;
   const ServiceSpec* FindService(const std::string& aName) const;
-  /// The team that owns aKey; null if none.
+  /// The team that owns aKey; null if none. No team owns the empty key.
   const TeamSpec* FindTeam(const std::string& aKey) const;
 
   bool operator==(const ServingTable&) const = default;
--- a/Tests/Serving/TableTest.cxx
+++ b/Tests/Serving/TableTest.cxx
@@ -168,7 +168,8 @@
     };
     const std::vector<TeamSpec> noTeam;
     const std::vector<TeamSpec> noKeys = { { "team", {}, std::nullopt } };
-    for (const auto& teams : { noTeam, noKeys }) {
+    const std::vector<TeamSpec> emptyKey = { { "team", { "" }, std::nullopt } };
+    for (const auto& teams : { noTeam, noKeys, emptyKey }) {
       Section("a removed key, one that never was, and none are denied", [&] {
         for (const auto* key : { "k", "x", "" }) {
           const auto admission = admit(teams, "/a/", key, 11000);
