Platform: Take a load that cannot be read for none

What callers would see: a target that states its load as "a,b,c" is taken for idle and gets more than its share.

Cause: each part of a list of numbers that is no number was read as 0.

--- a/Tests/FleetCodec/FleetCodecTest.cxx
+++ b/Tests/FleetCodec/FleetCodecTest.cxx
@@ -591,8 +591,14 @@
     CPPUNIT_ASSERT(responseHeaders.mNotRun && !responseHeaders.mSigned);
     CPPUNIT_ASSERT_EQUAL(3, responseHeaders.mLoad->mRunning);
     CPPUNIT_ASSERT_EQUAL(8, responseHeaders.mLoad->mSlots);
-    fields.set("Server-Load", "x");
-    CPPUNIT_ASSERT(!codec.ReadTargetResponseHeaders(fields).mLoad);
+    Section("a load that cannot be read is not an idle target", [&] {
+      for (const auto* value :
+           { "x", "", ",,", "a,b,c", "3,,8", "3,0,", "3,0,8x", "3;0;8" }) {
+        fields.set("Server-Load", value);
+        CPPUNIT_ASSERT_MESSAGE(value,
+                               !codec.ReadTargetResponseHeaders(fields).mLoad);
+      }
+    });
     Section("a target states in seconds when a request may come again", [&] {
       const auto read = [&](const char* aValue) {
         fields.set("Retry-After", aValue);
