Serving: Free the events of a stream that were passed on

What callers would see: a stream that always arrives with a part of the next event keeps all its events in memory until it ends.

Cause: EventSplitter freed its buffer only when no part of an event was left.

Evidence: the new sections of PlacementTest::TestEvents failed before.

--- a/Source/Serving/EventSplitter.cxx
+++ b/Source/Serving/EventSplitter.cxx
@@ -4,6 +4,9 @@
 
 namespace {
 
+/// A smaller buffer is kept when its events have been returned.
+constexpr std::size_t kKeptBytes = 32768;
+
 void
 ReadFields(std::string_view aEvent, StreamEvent& aResult)
 {
@@ -57,9 +60,11 @@
   while (true) {
     lineEnd = mBuffer.find('\n', lineEnd);
     if (lineEnd == std::string::npos) {
-      if (mStart == mBuffer.size()) {
-        mBuffer.clear();
-        mStart = 0;
+      mBuffer.erase(0, mStart);
+      mStart = 0;
+      if (mBuffer.capacity() > kKeptBytes &&
+          mBuffer.size() < mBuffer.capacity() / 2) {
+        mBuffer.shrink_to_fit();
       }
       return std::nullopt;
     }
--- a/Source/Serving/EventSplitter.h
+++ b/Source/Serving/EventSplitter.h
@@ -29,6 +29,8 @@
   /// Whether bytes of an incomplete event are buffered.
   bool HasPartial() const { return mBuffer.size() > mStart; }
   std::size_t Size() const { return mBuffer.size() - mStart; }
+  /// Bytes of memory that the buffer takes.
+  std::size_t HeldBytes() const { return mBuffer.capacity(); }
 
 private:
   std::string mBuffer;
--- a/Tests/Serving/PlacementTest.cxx
+++ b/Tests/Serving/PlacementTest.cxx
@@ -659,6 +659,24 @@
                            events.Next()->mBytes);
       CPPUNIT_ASSERT(!events.HasPartial());
     });
+    Section("returned events leave memory, though part of one is always left",
+            [&] {
+              EventSplitter always;
+              for (int n = 0; n < 10000; ++n) {
+                always.Append("a: b\n\nid: 1\ndata: c\n\nid: 2\nda");
+                while (always.Next()) {
+                }
+                always.Append("ta: d\n\n");
+              }
+              CPPUNIT_ASSERT(always.HeldBytes() < 1000);
+            });
+    Section("a large event leaves memory with the next ones", [&] {
+      EventSplitter large;
+      large.Append("data: " + std::string(1000000, 'x') + "\n\nda");
+      CPPUNIT_ASSERT(large.Next());
+      CPPUNIT_ASSERT(!large.Next());
+      CPPUNIT_ASSERT(large.HeldBytes() < 1000);
+    });
     Section("a comment has no content", [&] {
       events.Append(": wait\n\ndata: d\n\n");
       CPPUNIT_ASSERT(*events.Next() ==
