Entry: Limit the incomplete events of all streams together

Cause: each stream keeps up to 1 MiB of an event, with no limit on their sum; the limit of answers in memory counts plain answers only.

Ruled out: one limit for both, as endless streams would then make sound plain answers fail.

Change: 8 MiB for incomplete events; beyond it, streams end that have more than 64 KiB of one. A counter and the reason in the log name them.

--- a/Source/Entry/EntryContext.h
+++ b/Source/Entry/EntryContext.h
@@ -56,10 +56,11 @@
   AnswerBytes(const AnswerBytes&) = delete;
   AnswerBytes& operator=(const AnswerBytes&) = delete;
 
-  void Add(std::size_t aBytes)
+  void Add(std::size_t aBytes) { Set(mBytes + aBytes); }
+  void Set(std::size_t aBytes)
   {
-    mBytes += aBytes;
-    mTotal += aBytes;
+    mTotal = mTotal - mBytes + aBytes;
+    mBytes = aBytes;
   }
   std::size_t Bytes() const { return mBytes; }
   std::size_t Total() const { return mTotal; }
@@ -83,6 +84,11 @@
   /// that send without end must not exhaust the memory of a small host.
   static constexpr std::size_t kMaxAnswerBytesInMemory = std::size_t(24) << 20U;
 
+  /// Limit of mEventBytes; of the streams beyond it, those end that have more
+  /// than kMaxSpareEventBytes of an event.
+  static constexpr std::size_t kMaxEventBytesInMemory = std::size_t(8) << 20U;
+  static constexpr std::size_t kMaxSpareEventBytes = std::size_t(64) << 10U;
+
   MonotonicTime Now() const { return mClock.Now(); }
 
   /// Whether a table and the targets are known, and the table was current.
@@ -165,6 +171,8 @@
   std::function<std::size_t()> mCountHosts;
   /// Bytes of targets' answers in memory.
   std::size_t mAnswerBytes = 0;
+  /// Bytes of streams in memory whose events are not complete.
+  std::size_t mEventBytes = 0;
   /// Bytes of request bodies in memory.
   std::size_t mBufferedBytes = 0;
   /// Requests of which some bytes have arrived, but not all.
--- a/Source/Entry/StreamRun.cxx
+++ b/Source/Entry/StreamRun.cxx
@@ -616,6 +616,7 @@
 {
   std::vector<char> buf(kReadBytes);
   EventSplitter events;
+  AnswerBytes held(mContext.mEventBytes);
   bool first = true;
   // An engine that continues a stream does so with the next numbered event.
   bool continues = !ParseEventNumber(mLastEventId);
@@ -668,8 +669,14 @@
     if (aParser->is_done()) {
       break;
     }
-    if (events.Size() > kMaxEventBytes) {
-      mRequest->mReason = mEngine.mId + ": event too large";
+    held.Set(events.HeldBytes());
+    const bool isTooLarge = events.Size() > kMaxEventBytes;
+    if (isTooLarge || (events.Size() > EntryContext::kMaxSpareEventBytes &&
+                       held.Total() > EntryContext::kMaxEventBytesInMemory)) {
+      mContext.mMetrics.Count("entry_oversized_events_total");
+      mRequest->mReason =
+        mEngine.mId + (isTooLarge ? ": event too large"
+                                  : ": incomplete events fill the memory");
       aConnection->Close();
       co_return SendResult::kBroken;
     }
@@ -686,6 +693,7 @@
       }
     }
     events.Append({ buf.data(), buf.size() - aParser->get().body().size });
+    held.Set(events.HeldBytes());
     if (ec && ec != http::error::need_buffer) {
       aConnection->Close();
       if (mRequest->HasEnded()) {
--- a/Tests/Entry/FieldFailuresTest.cxx
+++ b/Tests/Entry/FieldFailuresTest.cxx
@@ -157,7 +157,9 @@
   CPPUNIT_TEST(TestSlowSoundStreams);
   CPPUNIT_TEST(TestEndlessHeads);
   CPPUNIT_TEST(TestEndlessBodies);
+  CPPUNIT_TEST(TestEndlessEventsOfManyStreams);
   CPPUNIT_TEST(TestRequestsAtTheEndOfTheGrace);
+  CPPUNIT_TEST(TestRequestsLateInTheGrace);
   CPPUNIT_TEST(TestEndTogetherWithTheDelayOfASecondSend);
   CPPUNIT_TEST(TestRequestsReadDuringAStop);
   CPPUNIT_TEST(TestRejectedWhileSending);
@@ -780,6 +782,97 @@
       });
   }
 
+  /// Guards against streams whose events do not end, which together take more
+  /// memory than the host has, though each is within its own limit.
+  void TestEndlessEventsOfManyStreams()
+  {
+    RelayWorld world;
+    std::vector<std::unique_ptr<DrippingTarget>> endless;
+    constexpr int kStreams = 24;
+    std::vector<ScriptedTarget*> targets;
+    for (int i = 0; i < kStreams; ++i) {
+      targets.push_back(&world.AddTarget("t" + std::to_string(i)));
+      endless.push_back(std::make_unique<DrippingTarget>(
+        *targets.back(),
+        RelayWorld::StreamHead("id1") + RelayWorld::Event(1),
+        Chunk(std::string(1024, 'x'))));
+    }
+    world.Start();
+    std::vector<std::shared_ptr<tcp::socket>> callers;
+    for (int i = 0; i < kStreams; ++i) {
+      callers.push_back(world.Call(RelayWorld::Request("long", "id1")));
+      // Each stream goes to the one engine that is idle.
+      world.RunUntil([&] {
+        return std::count_if(
+                 targets.begin(), targets.end(), [](const auto* aItem) {
+                   return !aItem->Requests().empty();
+                 }) == i + 1;
+      });
+    }
+    std::size_t most = 0;
+    world.RunUntil([&] {
+      bool open = false;
+      for (const auto& it : endless) {
+        open = it->Drip() || open;
+      }
+      most = std::max(most, world.Context().mEventBytes);
+      return !open;
+    });
+    CPPUNIT_ASSERT(most > EntryContext::kMaxEventBytesInMemory / 2);
+    CPPUNIT_ASSERT(most <= EntryContext::kMaxEventBytesInMemory);
+    Section("none of them looks complete", [&] {
+      for (const auto& it : callers) {
+        const auto reply = world.Reply(*it, kEndOfStream);
+        CPPUNIT_ASSERT(Contains(reply, "id: 1\n"));
+        CPPUNIT_ASSERT(!Contains(reply, kEndOfStream));
+      }
+    });
+    Section("the log tells the engine and the reason", [&] {
+      CPPUNIT_ASSERT(
+        Contains(world.Log(), "incomplete events fill the memory"));
+    });
+    CPPUNIT_ASSERT_EQUAL(std::size_t(0), world.Context().mEventBytes);
+  }
+
+  /// Guards against requests that are taken late in a planned stop and cut at
+  /// its end without an answer.
+  void TestRequestsLateInTheGrace()
+  {
+    RelayWorld world;
+    auto& target = world.AddTarget("t1");
+    target.AddScript([](tcp::socket&, const std::string&) { return true; });
+    world.Start();
+    auto& context = world.Context();
+    const auto callAfter = [&](Duration aSinceStop, const std::string& aKind) {
+      context.mStopping = true;
+      context.mStoppedAt = context.Now() - aSinceStop;
+      return world.Call(RelayWorld::Request(aKind, "id1"));
+    };
+    const auto grace = context.mSettings.mShutdownGrace;
+    Section("one that could not end before the grace does is not passed on, "
+            "and told so",
+            [&] {
+              for (const auto* kind : { "safe", "unsafe", "long", "short" }) {
+                const auto caller =
+                  callAfter(grace - std::chrono::milliseconds(1900), kind);
+                const auto reply = world.Reply(*caller, "never sent");
+                CPPUNIT_ASSERT(reply.starts_with("HTTP/1.1 503"));
+                CPPUNIT_ASSERT(Contains(reply, "Connection: close"));
+                CPPUNIT_ASSERT(target.Requests().empty());
+              }
+            });
+    Section("one that was taken in time is answered at the end, though its "
+            "target is still silent",
+            [&] {
+              const auto caller =
+                callAfter(grace - std::chrono::milliseconds(2500), "unsafe");
+              world.RunUntil([&] { return target.Requests().size() == 1; });
+              context.FinishAll();
+              CPPUNIT_ASSERT(
+                world.Reply(*caller, "\r\n\r\n").starts_with("HTTP/1.1 504"));
+            });
+  }
+
   void TestRequestsAtTheEndOfTheGrace()
   {
     // A host that stops answers what it still serves before it exits: the
