--- a/Tests/Entry/MessageFramingTest.cxx
+++ b/Tests/Entry/MessageFramingTest.cxx
@@ -13,6 +13,7 @@
   CPPUNIT_TEST(TestRequestInsideAnother);
   CPPUNIT_TEST(TestAnswerInAnUnknownCoding);
   CPPUNIT_TEST(TestReplyInAnUnknownCoding);
+  CPPUNIT_TEST(TestHeadThatBreaksOff);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -185,6 +186,44 @@
     });
   }
 
+  /// Guards against an answer whose head breaks off and that reaches the caller
+  /// as a success with an empty or short body.
+  void TestHeadThatBreaksOff()
+  {
+    const auto head = [](const std::string& aFraming) {
+      return "HTTP/1.1 200 OK\r\nAttempt-Id: id1\r\nResponse-Seal: s\r\n" +
+             aFraming + "\r\n";
+    };
+    const auto isBroken = [&](const std::string& aKind,
+                              const std::string& aBytes) {
+      RelayWorld world;
+      world.AddTarget("t1").AddScript(
+        [&](tcp::socket& aSocket, const std::string&) {
+          WriteAll(aSocket, aBytes);
+          return false;
+        });
+      world.Start();
+      const auto caller = world.Call(RelayWorld::Request(aKind, "id1"));
+      const auto reply = world.Reply(*caller, "\r\n\r\n");
+      CPPUNIT_ASSERT_MESSAGE(aKind + " " + aBytes + " gave " + reply,
+                             reply.starts_with("HTTP/1.1 502"));
+    };
+    Section("of a plain answer, at each byte", [&] {
+      for (const auto& whole : { head(""), head("Content-Length: 12\r\n") }) {
+        for (std::size_t n = 0; n < whole.size(); ++n) {
+          isBroken("unsafe", whole.substr(0, n));
+        }
+      }
+    });
+    Section("of a stream, at each byte", [&] {
+      const auto whole = head("Content-Type: text/event-stream\r\n"
+                              "Transfer-Encoding: chunked\r\n");
+      for (std::size_t n = 0; n < whole.size(); ++n) {
+        isBroken("long", whole.substr(0, n));
+      }
+    });
+  }
+
   /// Guards against the bytes of a coding that are taken for the store's or an
   /// engine's reply.
   void TestReplyInAnUnknownCoding()
