Targets: Take no reply for whole whose head breaks off

Cause: libcurl reports no error when the connection ends after the first line of a head, and CurlMulti took each end without an error for a whole reply.

Change: the call is dropped, which means that the request may have run, unless the final head has ended.

Evidence: CurlMultiTest::TestHeadThatBreaksOff failed before, for a head of one line, and passes.

--- a/Source/Targets/CurlMulti.cxx
+++ b/Source/Targets/CurlMulti.cxx
@@ -1,7 +1,10 @@
 #include "Targets/CurlMulti.h"
 
 #include "Core/ErrorGuard.h"
+#include "Core/HttpStatus.h"
 
+#include <QLatin1StringView>
+#include <algorithm>
 #include <array>
 #include <cerrno>
 #include <stdexcept>
@@ -63,6 +66,8 @@
   CurlMulti::OnData mOnData;
   CurlMulti::OnEnd mOnEnd;
   bool mAbandoned = false;
+  /// The head of the reply, interim replies apart, has arrived in full.
+  bool mHasHead = false;
 
   State() = default;
   State(const State&) = delete;
@@ -172,6 +177,8 @@
   curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
   curl_easy_setopt(easy, CURLOPT_PROXY, "");
   curl_easy_setopt(easy, CURLOPT_BUFFERSIZE, kReceiveBufferBytes);
+  curl_easy_setopt(easy, CURLOPT_HEADERFUNCTION, &CurlMulti::OnHeaderLine);
+  curl_easy_setopt(easy, CURLOPT_HEADERDATA, state.get());
   curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, &CurlMulti::OnWrite);
   curl_easy_setopt(easy, CURLOPT_WRITEDATA, state.get());
   curl_easy_setopt(easy, CURLOPT_PRIVATE, state.get());
@@ -228,6 +235,20 @@
   return 0;
 }
 
+size_t
+CurlMulti::OnHeaderLine(char* aData, size_t aSize, size_t aCount, void* aState)
+{
+  auto* state = static_cast<CurlTransfer::State*>(aState);
+  const auto size = aSize * aCount;
+  const auto line = QLatin1StringView(aData, qsizetype(size)).trimmed();
+  if (line.isEmpty()) {
+    long status = 0;
+    curl_easy_getinfo(state->mEasy, CURLINFO_RESPONSE_CODE, &status);
+    state->mHasHead = status >= kStatusOk;
+  }
+  return size;
+}
+
 size_t
 CurlMulti::OnWrite(char* aData, size_t aSize, size_t aCount, void* aState)
 {
@@ -308,6 +329,10 @@
     end.mStatus = int(status);
     if (code != CURLE_OK) {
       end.mMessage = curl_easy_strerror(code);
+    } else if (!state->mHasHead) {
+      // libcurl counts a reply whose head breaks off as one without a body.
+      end.mKind = TransferEndKind::kDropped;
+      end.mMessage = "the head of the reply broke off";
     }
     Remove(easy);
     state->mMulti = nullptr;
--- a/Source/Targets/CurlMulti.h
+++ b/Source/Targets/CurlMulti.h
@@ -109,6 +109,10 @@
 
   static int OnSocket(CURL*, curl_socket_t, int, void*, void*);
   static int OnTimer(CURLM*, long, void*);
+  static size_t OnHeaderLine(char* aData,
+                             size_t aSize,
+                             size_t aCount,
+                             void* aState);
   static size_t OnWrite(char*, size_t, size_t, void*);
   void Pause(CURL* aEasy, bool aPaused);
   void OnReadable();
--- a/Tests/Targets/CurlMultiTest.cxx
+++ b/Tests/Targets/CurlMultiTest.cxx
@@ -39,6 +39,11 @@
             socket->abort();
             return;
           }
+          if (!mBrokenAnswer.isNull()) {
+            socket->write(mBrokenAnswer);
+            socket->disconnectFromHost();
+            return;
+          }
           const auto answer = Http(QByteArray::number(mRequests));
           // The late copy arrives where the next answer is expected.
           socket->write(mRepeatsAnswers ? previous + answer : answer);
@@ -52,6 +57,8 @@
     return "http://127.0.0.1:" + std::to_string(mServer.serverPort()) + "/";
   }
 
+  /// Sent in place of an answer, before the connection ends.
+  QByteArray mBrokenAnswer;
   bool mRepeatsAnswers = false;
   bool mClosesUsedConnections = false;
   int mConnections = 0;
@@ -101,6 +108,7 @@
   CPPUNIT_TEST_SUITE(CurlMultiTest);
   CPPUNIT_TEST(TestLateSecondCopy);
   CPPUNIT_TEST(TestNoHiddenRepeats);
+  CPPUNIT_TEST(TestHeadThatBreaksOff);
   CPPUNIT_TEST(TestHookThatThrows);
   CPPUNIT_TEST_SUITE_END();
 
@@ -118,6 +126,39 @@
     }
   }
 
+  /// Guards against a reply whose head breaks off and that libcurl reports as a
+  /// whole one without a body.
+  void TestHeadThatBreaksOff()
+  {
+    CurlMulti curl;
+    Server server;
+    const QByteArray whole = "HTTP/1.1 200 OK\r\nX-Some: header\r\n\r\n";
+    for (qsizetype n = 0; n < whole.size(); ++n) {
+      server.mBrokenAnswer = whole.first(n);
+      CPPUNIT_ASSERT_MESSAGE(whole.first(n).toStdString(),
+                             Send(curl, PostTo(server)).mEnd.mKind ==
+                               TransferEndKind::kDropped);
+    }
+    Section("also after an interim reply", [&] {
+      server.mBrokenAnswer =
+        "HTTP/1.1 102 Processing\r\n\r\nHTTP/1.1 200 OK\r\n";
+      CPPUNIT_ASSERT(Send(curl, PostTo(server)).mEnd.mKind ==
+                     TransferEndKind::kDropped);
+    });
+    Section("trailers are no head", [&] {
+      server.mBrokenAnswer = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n"
+                             "\r\n4\r\nbody\r\n0\r\nX-Some: trailer\r\n\r\n";
+      CPPUNIT_ASSERT(Send(curl, PostTo(server)).mEnd.mKind ==
+                     TransferEndKind::kReplied);
+    });
+    Section("a whole head whose body ends with the connection is a reply", [&] {
+      server.mBrokenAnswer = whole + "body";
+      const auto answer = Send(curl, PostTo(server));
+      CPPUNIT_ASSERT(answer.mEnd.mKind == TransferEndKind::kReplied);
+      CPPUNIT_ASSERT_EQUAL(std::string("body"), answer.mBody);
+    });
+  }
+
   /// Guards against libcurl's own repetition of a request on a new connection
   /// when a used one breaks: the target may have run it.
   void TestNoHiddenRepeats()
