Targets: Drop a reply in an unknown transfer coding

What callers would see: on the router's path, the bytes after Transfer-Encoding identity as the body of a reply.

Change: a call ends as dropped at a coding that is not a single chunked.

Evidence: CurlMultiTest::TestAnswerInAnUnknownCoding failed before, for identity, and passes.

--- a/Source/Targets/CurlMulti.cxx
+++ b/Source/Targets/CurlMulti.cxx
@@ -238,6 +238,8 @@
 size_t
 CurlMulti::OnHeaderLine(char* aData, size_t aSize, size_t aCount, void* aState)
 {
+  constexpr QLatin1StringView kName("transfer-encoding");
+  constexpr QLatin1StringView kChunked("chunked");
   auto* state = static_cast<CurlTransfer::State*>(aState);
   const auto size = aSize * aCount;
   const auto line = QLatin1StringView(aData, qsizetype(size)).trimmed();
@@ -246,6 +248,15 @@
     curl_easy_getinfo(state->mEasy, CURLINFO_RESPONSE_CODE, &status);
     state->mHasHead = status >= kStatusOk;
   }
+  // libcurl would pass on the coded bytes. A short count ends the transfer.
+  const auto colon = line.indexOf(QLatin1Char(':'));
+  if (line.first(std::max<qsizetype>(colon, 0))
+          .trimmed()
+          .compare(kName, Qt::CaseInsensitive) == 0 &&
+      line.sliced(colon + 1).trimmed().compare(kChunked, Qt::CaseInsensitive) !=
+        0) {
+    return 0;
+  }
   return size;
 }
 
--- a/Tests/Targets/CurlMultiTest.cxx
+++ b/Tests/Targets/CurlMultiTest.cxx
@@ -109,6 +109,7 @@
   CPPUNIT_TEST(TestLateSecondCopy);
   CPPUNIT_TEST(TestNoHiddenRepeats);
   CPPUNIT_TEST(TestHeadThatBreaksOff);
+  CPPUNIT_TEST(TestAnswerInAnUnknownCoding);
   CPPUNIT_TEST(TestHookThatThrows);
   CPPUNIT_TEST_SUITE_END();
 
@@ -159,6 +160,37 @@
     });
   }
 
+  /// Guards against the coded bytes of a reply that are taken for its body.
+  void TestAnswerInAnUnknownCoding()
+  {
+    CurlMulti curl;
+    Server server;
+    const auto answer = [&](const QByteArray& aFraming,
+                            const QByteArray& aBody) {
+      server.mBrokenAnswer =
+        "HTTP/1.1 200 OK\r\n" + aFraming + "\r\n\r\n" + aBody;
+      return Send(curl, PostTo(server));
+    };
+    const QByteArray inChunks = "5\r\ncoded\r\n0\r\n\r\n";
+    for (const auto* framing :
+         { "Transfer-Encoding: gzip",
+           "Transfer-Encoding: identity",
+           "Transfer-Encoding: gzip, chunked",
+           "transfer-encoding:chunked, gzip",
+           "Transfer-Encoding: gzip\r\nTransfer-Encoding: chunked",
+           "Transfer-Encoding: identity\r\nContent-Length: 5" }) {
+      const auto got = answer(framing, inChunks);
+      CPPUNIT_ASSERT_MESSAGE(framing,
+                             got.mEnd.mKind == TransferEndKind::kDropped);
+      CPPUNIT_ASSERT_MESSAGE(framing, got.mBody.empty());
+    }
+    Section("chunks alone are read", [&] {
+      CPPUNIT_ASSERT_EQUAL(
+        std::string("coded"),
+        answer("Transfer-Encoding: Chunked", inChunks).mBody);
+    });
+  }
+
   /// Guards against libcurl's own repetition of a request on a new connection
   /// when a used one breaks: the target may have run it.
   void TestNoHiddenRepeats()
