--- a/Source/Targets/CurlMulti.cxx
+++ b/Source/Targets/CurlMulti.cxx
@@ -4,7 +4,6 @@
 #include "Core/HttpStatus.h"
 
 #include <QLatin1StringView>
-#include <algorithm>
 #include <array>
 #include <cerrno>
 #include <stdexcept>
@@ -54,6 +53,22 @@
                                            : TransferEndKind::kDropped;
 }
 
+/// Whether a line of a head names a transfer coding other than chunks alone.
+bool
+NamesUnknownCoding(QLatin1StringView aLine)
+{
+  constexpr QLatin1StringView kName("transfer-encoding");
+  constexpr QLatin1StringView kChunked("chunked");
+  const auto colon = aLine.indexOf(QLatin1Char(':'));
+  if (colon < 0) {
+    return false;
+  }
+  const auto name = aLine.first(colon).trimmed();
+  const auto value = aLine.sliced(colon + 1).trimmed();
+  return name.compare(kName, Qt::CaseInsensitive) == 0 &&
+         value.compare(kChunked, Qt::CaseInsensitive) != 0;
+}
+
 } // namespace
 
 /// \brief What libcurl needs for one call.
@@ -238,26 +253,18 @@
 size_t
 CurlMulti::OnHeaderLine(char* aData, size_t aSize, size_t aCount, void* aState)
 {
-  constexpr QLatin1StringView kName("transfer-encoding");
-  constexpr QLatin1StringView kChunked("chunked");
   auto* state = static_cast<CurlTransfer::State*>(aState);
   const auto size = aSize * aCount;
   const auto line = QLatin1StringView(aData, qsizetype(size)).trimmed();
   if (line.isEmpty()) {
+    // Interim replies have a head of their own.
     long status = 0;
     curl_easy_getinfo(state->mEasy, CURLINFO_RESPONSE_CODE, &status);
     state->mHasHead = status >= kStatusOk;
   }
-  // libcurl would pass on the coded bytes. A short count ends the transfer.
-  const auto colon = line.indexOf(QLatin1Char(':'));
-  if (line.first(std::max<qsizetype>(colon, 0))
-          .trimmed()
-          .compare(kName, Qt::CaseInsensitive) == 0 &&
-      line.sliced(colon + 1).trimmed().compare(kChunked, Qt::CaseInsensitive) !=
-        0) {
-    return 0;
-  }
-  return size;
+  // A short count makes libcurl end the transfer, which would otherwise pass on
+  // the coded bytes.
+  return NamesUnknownCoding(line) ? 0 : size;
 }
 
 size_t
