--- a/Tests/Entry/MessageFramingTest.cxx
+++ b/Tests/Entry/MessageFramingTest.cxx
@@ -130,7 +130,8 @@
         return false;
       });
       world.Start();
-      const auto caller = world.Call(RelayWorld::Request(aKind, "id1"));
+      const auto caller =
+        world.Call(RelayWorld::Request(aKind, "id1", "Connection: close\r\n"));
       return world.Reply(*caller, kEndOfStream);
     };
     const auto isBroken = [&](const std::string& aKind,
