--- a/review/standins2.py
+++ b/review/standins2.py
@@ -512,6 +512,8 @@
         finally:
             site.stop()
 
+    # So that the processes end also when the script is told to stop.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
     status = 2
     try:
         status = asyncio.run(body())
