--- /dev/null
+++ b/Source/Entry/AnswerReader.h
@@ -0,0 +1,55 @@
+#pragma once
+
+#include "Core/ChunkDecoder.h"
+#include "Entry/TargetConnection.h"
+
+#include <optional>
+#include <string_view>
+
+namespace ragwortdeck {
+
+/// \brief Reads one answer from a connection: its head, and then its body part
+/// by part. What it holds is limited and charged to the connection.
+class AnswerReader
+{
+public:
+  /// A body follows the head of an answer, unless the answer is to HEAD.
+  enum class Request
+  {
+    kHead,
+    kOther,
+  };
+
+  AnswerReader(TargetConnectionPtr aConnection, Request aRequest);
+
+  Task<error_code> ReadHead();
+  /// Reads the next part of the body. aPart is valid until the next call, and
+  /// empty when the body has ended. The connection may be reused only after
+  /// that.
+  Task<error_code> ReadPart(std::string_view& aPart);
+
+  const http::response<http::empty_body>& Head() const { return mParser.get(); }
+  /// The whole answer has been read.
+  bool IsDone() const { return mIsDone; }
+  /// Only the end of the connection marks the end of the answer.
+  bool EndsWithConnection() const { return mEndsWithConnection; }
+  /// The connection may carry another request.
+  bool MayReuse() const;
+
+private:
+  void SetFraming();
+  /// Takes a part of the body from the bytes that have been read.
+  std::string_view TakePart(error_code& aError);
+
+  TargetConnectionPtr mConnection;
+  Request mRequest;
+  http::response_parser<http::empty_body> mParser;
+  std::optional<ChunkDecoder> mChunks;
+  std::uint64_t mLeft = 0;
+  /// Bytes of the last part, which are still in the buffer.
+  std::size_t mTaken = 0;
+  bool mIsDone = false;
+  bool mEndsWithConnection = false;
+};
+
+} // namespace ragwortdeck
--- a/Source/Entry/CallClient.cxx
+++ b/Source/Entry/CallClient.cxx
@@ -1,7 +1,7 @@
 #include "Entry/CallClient.h"
 
 #include "Core/HttpStatus.h"
-#include "Entry/HttpHeaders.h"
+#include "Entry/TargetExchange.h"
 
 #include <memory>
 
@@ -45,17 +45,17 @@
     co_return Failure(ErrorCode::kUnavailable,
                       ToText(aTo) + ": " + ec.message());
   }
-  std::unique_ptr<http::response_parser<http::string_body>> parser;
+  MemoryCharge charge(mPool.Memory(), MemoryUse::kAnswer);
+  std::string body;
+  std::unique_ptr<AnswerReader> reader;
   for (int interim = 0; interim <= kMaxInterimAnswers; ++interim) {
-    parser = std::make_unique<http::response_parser<http::string_body>>();
-    parser->body_limit(kMaxAnswerBytes);
-    co_await http::async_read(
-      connection->mStream, connection->mBuffer, *parser, RedirectError(ec));
-    if (!ec && FramingOf(parser->get(), parser->get().version()) !=
-                 BodyFraming::kClear) {
-      ec = http::error::bad_transfer_encoding;
+    reader =
+      std::make_unique<AnswerReader>(connection, AnswerReader::Request::kOther);
+    ec = co_await reader->ReadHead();
+    if (!ec) {
+      ec = co_await ReadBody(*reader, kMaxAnswerBytes, charge, body);
     }
-    if (ec || parser->get().result_int() >= kStatusOk) {
+    if (ec || reader->Head().result_int() >= kStatusOk) {
       break;
     }
   }
@@ -64,13 +64,12 @@
                                                   : ErrorCode::kUnavailable,
                       ToText(aTo) + ": " + ec.message());
   }
-  if (isShared && parser->get().keep_alive()) {
-    mPool.Release(connection, KeepAliveSeconds(parser->get()));
+  if (isShared) {
+    mPool.ReleaseOrClose(connection, *reader, true);
   }
-  auto response = parser->release();
-  co_return CallReply{ response.result_int(),
-                       std::move(response.body()),
-                       std::move(response.base()) };
+  co_return CallReply{ reader->Head().result_int(),
+                       std::move(body),
+                       reader->Head() };
 }
 
 } // namespace ragwortdeck
--- a/Source/Entry/CallerRequest.cxx
+++ b/Source/Entry/CallerRequest.cxx
@@ -41,13 +41,13 @@
   return headers;
 }
 
-http::request<http::string_body>
-MakeTargetRequest(const CallerRequest& aRequest,
+TargetRequest
+MakeTargetRequest(std::shared_ptr<const CallerRequest> aRequest,
                   const PlatformCodec& aCodec,
                   const TargetRequestHeaders& aHeaders)
 {
-  const auto& from = aRequest.mRequest;
-  http::request<http::string_body> request;
+  const auto& from = aRequest->mRequest;
+  http::request<http::span_body<const char>> request;
   request.method_string(from.method_string());
   request.target(from.target());
   request.version(11);
@@ -55,9 +55,9 @@
     return aCodec.IsReservedHeader(aName);
   });
   aCodec.WriteTargetRequestHeaders(aHeaders, request);
-  request.body() = from.body();
+  request.body() = { from.body().data(), from.body().size() };
   request.prepare_payload();
-  return request;
+  return { std::move(aRequest), std::move(request) };
 }
 
 http::response<http::string_body>
--- a/Source/Entry/CallerRequest.h
+++ b/Source/Entry/CallerRequest.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "Core/MemoryCharge.h"
 #include "Entry/Asio.h"
 #include "Entry/PlatformCodec.h"
 
@@ -74,6 +75,8 @@
 {
   http::response<http::string_body> mResponse;
   bool mFromTarget = false;
+  /// The memory of mResponse, until the caller has read it.
+  MemoryCharge mCharge = {};
 };
 
 /// Makes an answer of this host: aStatus with a short text.
@@ -90,9 +93,16 @@
                          const std::string& aTarget,
                          MonotonicTime aNow);
 
+/// \brief A request to a target. Its body is the caller's, which is not copied.
+struct TargetRequest
+{
+  std::shared_ptr<const CallerRequest> mOrigin;
+  http::request<http::span_body<const char>> mMessage;
+};
+
 /// Makes the request that is sent to a target.
-http::request<http::string_body>
-MakeTargetRequest(const CallerRequest& aRequest,
+TargetRequest
+MakeTargetRequest(std::shared_ptr<const CallerRequest> aRequest,
                   const PlatformCodec& aCodec,
                   const TargetRequestHeaders& aHeaders);
 
--- a/Source/Entry/CallerSession.cxx
+++ b/Source/Entry/CallerSession.cxx
@@ -3,9 +3,14 @@
 #include "Core/HttpStatus.h"
 #include "Entry/HttpHeaders.h"
 #include "Entry/PlainRelay.h"
+#include "Entry/RequestBody.h"
 #include "Entry/StreamRun.h"
 #include "Serving/ShutdownRule.h"
 
+#include <array>
+#include <limits>
+#include <utility>
+
 namespace ragwortdeck {
 
 namespace {
@@ -20,15 +25,22 @@
 /// much beyond the largest permitted body.
 constexpr std::chrono::seconds kLinger{ 2 };
 constexpr std::size_t kMaxLingerBytes = std::size_t(16) << 20U;
-/// Limit of the total size of request bodies in memory.
-constexpr std::size_t kMaxBufferedBytes = std::size_t(24) << 20U;
+constexpr std::size_t kReadBytes = 16384;
+constexpr std::size_t kLingerReadBytes = 4096;
+/// Charged for each connection beside its buffers.
+constexpr std::size_t kConnectionBytes = 8192;
+/// A larger buffer is freed between two requests.
+constexpr std::size_t kKeptBufferBytes = 16384;
 /// Bytes of the next request that are read while one is served.
 constexpr std::size_t kMaxReadAheadBytes = 65536;
 /// Limits that apply until the first table is known.
 constexpr CallerLimits kLimitsWithoutTable{};
+constexpr const char* kBodyTooLarge = "the body exceeds the limit";
 /// Retry-After of an answer of a host that is not ready; short, since another
 /// host serves the retry.
 constexpr double kNotReadyRetryAfterSeconds = 0.3;
+/// Retry-After of an answer of a host without memory for the request.
+constexpr double kNoMemoryRetryAfterSeconds = 1;
 
 unsigned
 RejectionStatus(const error_code& aError)
@@ -56,7 +68,7 @@
 Task<void>
 Linger(beast::tcp_stream& aStream, std::size_t aLimit)
 {
-  std::vector<char> buf(kMaxReadAheadBytes);
+  std::array<char, kLingerReadBytes> buf{};
   error_code ec;
   aStream.socket().shutdown(tcp::socket::shutdown_send, ec);
   // The timeout of the stream does not end reads that complete at once.
@@ -76,23 +88,16 @@
   ActiveRequest(EntryContext& aContext, CallerRequest& aRequest)
     : mContext(aContext)
     , mRequest(aRequest)
-    , mBytes(aRequest.mRequest.body().size())
   {
     mContext.mActive.insert(&mRequest);
-    mContext.mBufferedBytes += mBytes;
-  }
-  ~ActiveRequest()
-  {
-    mContext.mActive.erase(&mRequest);
-    mContext.mBufferedBytes -= mBytes;
   }
+  ~ActiveRequest() { mContext.mActive.erase(&mRequest); }
   ActiveRequest(const ActiveRequest&) = delete;
   ActiveRequest& operator=(const ActiveRequest&) = delete;
 
 private:
   EntryContext& mContext;
   CallerRequest& mRequest;
-  std::size_t mBytes;
 };
 
 } // namespace
@@ -100,6 +105,7 @@
 CallerSession::CallerSession(EntryContext& aContext, tcp::socket aSocket)
   : mContext(aContext)
   , mStream(std::move(aSocket))
+  , mCharge(aContext.mMemory, MemoryUse::kRequest)
 {
   error_code ec;
   mStream.socket().set_option(tcp::no_delay(true), ec);
@@ -109,10 +115,14 @@
 CallerSession::Run()
 {
   auto self = shared_from_this();
+  const InFlight counted(mContext.mConnections);
   while (true) {
     auto request = std::make_shared<CallerRequest>();
-    if (!co_await ReadRequest(*request)) {
-      if (request->mAnswerBegun) {
+    mCharge.SetOnEvict([this] { mStream.cancel(); });
+    const bool isRead = co_await ReadRequest(*request);
+    mCharge.SetOnEvict(nullptr);
+    if (!isRead) {
+      if (request->mAnswerBegun && !mCharge.IsEvicted()) {
         // A stop does not wait for this, as ReadRequest() has returned.
         co_await Linger(mStream,
                         static_cast<std::size_t>(Limits().mBodyBytes) +
@@ -168,42 +178,78 @@
   return table ? table->Limits() : kLimitsWithoutTable;
 }
 
-Task<bool>
-CallerSession::ReadRequest(CallerRequest& aRequest)
+bool
+CallerSession::Charge(std::size_t aBodyBytes)
+{
+  return mCharge.Resize(kConnectionBytes + mBuffer.capacity() + aBodyBytes);
+}
+
+Task<error_code>
+CallerSession::ReadSome(std::size_t aBodyBytes)
 {
   error_code ec;
-  if (mBuffer.size() == 0) {
-    mStream.expires_after(Limits().mIdleTimeout + kIdleSlack);
-    const auto n = co_await mStream.async_read_some(
-      mBuffer.prepare(static_cast<std::size_t>(4096)), RedirectError(ec));
-    if (ec) {
-      co_return false;
-    }
-    mBuffer.commit(n);
+  const auto n = co_await mStream.async_read_some(mBuffer.prepare(kReadBytes),
+                                                  RedirectError(ec));
+  mBuffer.commit(n);
+  mCharge.AddProgress(n);
+  if (mCharge.IsEvicted() || (!ec && !Charge(aBodyBytes + n))) {
+    co_return asio::error::no_memory;
   }
-  const InFlight reading(mContext.mReading);
-  // The table may have changed while the connection was idle.
-  const auto limits = Limits();
-  mStream.expires_after(limits.mHeaderTimeout);
-  http::request_parser<http::string_body> parser;
-  parser.header_limit(static_cast<std::uint32_t>(limits.mHeaderBytes));
-  parser.body_limit(static_cast<std::uint64_t>(limits.mBodyBytes));
-  co_await http::async_read_header(mStream, mBuffer, parser, RedirectError(ec));
-  if (ec == beast::error::timeout) {
+  co_return ec;
+}
+
+Task<bool>
+CallerSession::WaitForRequest()
+{
+  if (mBuffer.size() == 0 && mBuffer.capacity() > kKeptBufferBytes) {
+    mBuffer.shrink_to_fit();
+  }
+  if (!Charge(0)) {
     co_return false;
   }
-  if (ec) {
-    if (IsHttpError(ec)) {
-      co_await Reject(aRequest, RejectionStatus(ec), ec.message());
+  if (mBuffer.size() > 0) {
+    co_return true;
+  }
+  mStream.expires_after(Limits().mIdleTimeout + kIdleSlack);
+  co_return !co_await ReadSome(0);
+}
+
+Task<error_code>
+CallerSession::ReadHead(HeadParser& aParser, const CallerLimits& aLimits)
+{
+  // The timeout of the stream does not end reads that complete at once.
+  const auto end = mContext.Now() + Duration(aLimits.mHeaderTimeout);
+  mStream.expires_after(aLimits.mHeaderTimeout);
+  while (true) {
+    error_code ec;
+    mBuffer.consume(aParser.put(mBuffer.data(), ec));
+    if (aParser.is_header_done()) {
+      co_return error_code{};
+    }
+    if (ec && ec != http::error::need_more) {
+      co_return ec;
+    }
+    if (mContext.Now() >= end) {
+      co_return beast::error::timeout;
+    }
+    ec = co_await ReadSome(0);
+    if (ec) {
+      co_return ec;
     }
-    co_return false;
   }
-  aRequest.mArrived = mContext.Now();
-  if (parser.get().count(http::field::host) != 1) {
+}
+
+Task<bool>
+CallerSession::CheckHead(CallerRequest& aRequest,
+                         const HeadParser& aParser,
+                         const CallerLimits& aLimits)
+{
+  const auto& head = aParser.get();
+  if (head.count(http::field::host) != 1) {
     co_await Reject(aRequest, kStatusBadRequest, "not exactly one Host header");
     co_return false;
   }
-  if (const auto framing = FramingOf(parser.get(), parser.get().version());
+  if (const auto framing = FramingOf(head, head.version());
       framing != BodyFraming::kClear) {
     if (framing == BodyFraming::kUnknownCoding) {
       co_await Reject(
@@ -214,46 +260,173 @@
     }
     co_return false;
   }
-  if (mContext.mBufferedBytes > kMaxBufferedBytes) {
-    mContext.mMetrics.Count("entry_shed_bodies_total");
-    co_await Reject(aRequest, kStatusUnavailable, "too many bodies in memory");
+  const auto length = aParser.content_length();
+  if (length && *length > static_cast<std::uint64_t>(aLimits.mBodyBytes)) {
+    co_await Reject(aRequest, kStatusTooLarge, kBodyTooLarge);
     co_return false;
   }
-  if (beast::iequals(parser.get()[http::field::expect], "100-continue") &&
-      !parser.is_done()) {
-    static constexpr char kContinue[] = "HTTP/1.1 100 Continue\r\n\r\n";
-    co_await asio::async_write(mStream,
-                               asio::buffer(kContinue, sizeof(kContinue) - 1),
-                               RedirectError(ec));
+  co_return true;
+}
+
+Task<bool>
+CallerSession::ReadRequest(CallerRequest& aRequest)
+{
+  if (!co_await WaitForRequest()) {
+    co_return false;
+  }
+  const InFlight reading(mContext.mReading);
+  // The table may have changed while the connection was idle.
+  const auto limits = Limits();
+  HeadParser parser;
+  parser.header_limit(static_cast<std::uint32_t>(limits.mHeaderBytes));
+  // The body is not read by the parser.
+  parser.body_limit(std::numeric_limits<std::uint64_t>::max());
+  const auto ec = co_await ReadHead(parser, limits);
+  if (ec == asio::error::no_memory) {
+    co_await RefuseForMemory(aRequest);
+  } else if (IsHttpError(ec)) {
+    co_await Reject(aRequest, RejectionStatus(ec), ec.message());
   }
-  mStream.expires_after(kBodyTimeout);
-  co_await http::async_read(mStream, mBuffer, parser, RedirectError(ec));
   if (ec) {
-    if (IsHttpError(ec)) {
-      co_await Reject(aRequest, RejectionStatus(ec), ec.message());
-    }
+    co_return false;
+  }
+  aRequest.mArrived = mContext.Now();
+  if (!co_await CheckHead(aRequest, parser, limits)) {
+    co_return false;
+  }
+  aRequest.mRequest = http::request<http::string_body>(parser.get().base());
+  if (!co_await ReadBody(aRequest, parser, limits)) {
     co_return false;
   }
   mStream.expires_never();
-  aRequest.mRequest = parser.release();
   co_return true;
 }
 
+Task<bool>
+CallerSession::DenyFromHead(CallerRequest& aRequest)
+{
+  if (!mContext.HasContents()) {
+    co_return false;
+  }
+  aRequest.mCallerHeaders =
+    mContext.mCodec.ReadCallerHeaders(aRequest.mRequest);
+  auto denied = Admit(aRequest);
+  if (!denied) {
+    co_return false;
+  }
+  mContext.mMetrics.Count("entry_requests_total");
+  aRequest.mRequest.keep_alive(false);
+  co_await Answer(aRequest, std::move(*denied));
+  co_return true;
+}
+
+Task<bool>
+CallerSession::ReadBody(CallerRequest& aRequest,
+                        const HeadParser& aParser,
+                        const CallerLimits& aLimits)
+{
+  mContext.mMemory.FitOne(
+    MemoryUse::kRequest,
+    static_cast<std::size_t>(aLimits.mBodyBytes + aLimits.mHeaderBytes));
+  RequestBody body(aParser, aLimits, aRequest.mRequest.body());
+  const auto end = mContext.Now() + Duration(kBodyTimeout);
+  mStream.expires_after(kBodyTimeout);
+  bool isFirst = true;
+  while (true) {
+    mBuffer.consume(body.Take(mBuffer.data()));
+    switch (body.Current()) {
+      case RequestBody::State::kDone:
+        co_return true;
+      case RequestBody::State::kMalformed:
+        co_await Reject(aRequest, kStatusBadRequest, "malformed chunk");
+        co_return false;
+      case RequestBody::State::kTooLarge:
+        co_await Reject(aRequest, kStatusTooLarge, kBodyTooLarge);
+        co_return false;
+      case RequestBody::State::kLineTooLong:
+        co_await Reject(aRequest,
+                        kStatusHeaderTooLarge,
+                        "a chunk's header or the trailer is too long");
+        co_return false;
+      case RequestBody::State::kReading:
+        break;
+    }
+    if (std::exchange(isFirst, false)) {
+      if (co_await DenyFromHead(aRequest)) {
+        co_return false;
+      }
+      if (beast::iequals(aRequest.mRequest[http::field::expect],
+                         "100-continue")) {
+        static constexpr std::string_view kContinue =
+          "HTTP/1.1 100 Continue\r\n\r\n";
+        error_code ec;
+        co_await asio::async_write(
+          mStream,
+          asio::buffer(kContinue.data(), kContinue.size()),
+          RedirectError(ec));
+      }
+    }
+    if (mContext.Now() >= end) {
+      co_return false;
+    }
+    const auto ec = co_await ReadSome(aRequest.mRequest.body().size());
+    if (ec == asio::error::no_memory) {
+      aRequest.mRequest.body() = {};
+      co_await RefuseForMemory(aRequest);
+    }
+    if (ec) {
+      co_return false;
+    }
+  }
+}
+
+Task<void>
+CallerSession::RefuseForMemory(CallerRequest& aRequest)
+{
+  mContext.mMetrics.Count("entry_shed_bodies_total");
+  co_await Reject(
+    aRequest,
+    MakeRefusal("too many bodies in memory", kNoMemoryRetryAfterSeconds));
+}
+
 Task<void>
 CallerSession::Reject(CallerRequest& aRequest,
                       unsigned aStatus,
                       std::string aText)
 {
+  co_await Reject(aRequest, MakeLocalAnswer(aStatus, aText));
+}
+
+Task<void>
+CallerSession::Reject(CallerRequest& aRequest, FinalAnswer aAnswer)
+{
+  // What else the caller sends is dropped.
+  mBuffer = beast::flat_buffer();
   aRequest.mAnswerBegun = true;
   mContext.mMetrics.Count("entry_rejected_total");
-  mContext.mLog.Write("rejected",
-                      { { "status", aStatus }, { "reason", aText } });
-  auto answer = MakeLocalAnswer(aStatus, aText);
-  answer.mResponse.keep_alive(false);
-  answer.mResponse.prepare_payload();
+  auto& response = aAnswer.mResponse;
+  mContext.mLog.Write(
+    "rejected",
+    { { "status", response.result_int() }, { "reason", response.body() } });
+  response.keep_alive(false);
+  response.prepare_payload();
   mStream.expires_after(kAnswerTimeout);
+  co_await Write(aAnswer);
+}
+
+Task<error_code>
+CallerSession::Write(FinalAnswer& aAnswer)
+{
+  http::response_serializer<http::string_body> serializer(aAnswer.mResponse);
+  aAnswer.mCharge.SetOnEvict([this] { mStream.close(); });
   error_code ec;
-  co_await http::async_write(mStream, answer.mResponse, RedirectError(ec));
+  while (!ec && !serializer.is_done()) {
+    const auto n =
+      co_await http::async_write_some(mStream, serializer, RedirectError(ec));
+    aAnswer.mCharge.AddProgress(n);
+  }
+  aAnswer.mCharge.SetOnEvict(nullptr);
+  co_return ec;
 }
 
 std::optional<FinalAnswer>
@@ -342,7 +515,8 @@
       }
       // The bytes belong to the next request.
       self->mBuffer.commit(n);
-      if (self->mBuffer.size() < kMaxReadAheadBytes) {
+      if (self->Charge(aRequest->mRequest.body().size()) &&
+          self->mBuffer.size() < kMaxReadAheadBytes) {
         self->EndWhenCallerCloses(aRequest);
       }
     });
@@ -440,8 +614,7 @@
            : (status == kStatusUnavailable ? "refused" : "failed"));
   aRequest.mAnswerBegun = true;
   mStream.expires_after(kAnswerTimeout);
-  error_code ec;
-  co_await http::async_write(mStream, response, RedirectError(ec));
+  const auto ec = co_await Write(aAnswer);
   mStream.expires_never();
   co_return !ec && keepAlive;
 }
--- a/Source/Entry/CallerStream.cxx
+++ b/Source/Entry/CallerStream.cxx
@@ -1,6 +1,8 @@
 #include "Entry/CallerStream.h"
 
+#include <array>
 #include <sstream>
+#include <utility>
 
 namespace ragwortdeck {
 
@@ -25,11 +27,14 @@
 }
 
 Task<error_code>
-CallerStream::WriteRaw(std::string aBytes)
+CallerStream::Write(std::string aStart, std::string aBytes, std::string aEnd)
 {
+  const std::array buffers = { asio::buffer(std::as_const(aStart)),
+                               asio::buffer(std::as_const(aBytes)),
+                               asio::buffer(std::as_const(aEnd)) };
   error_code ec;
   mStream.expires_after(kWriteTimeout);
-  co_await asio::async_write(mStream, asio::buffer(aBytes), RedirectError(ec));
+  co_await asio::async_write(mStream, buffers, RedirectError(ec));
   mStream.expires_never();
   co_return ec;
 }
@@ -37,15 +42,15 @@
 Task<error_code>
 CallerStream::WriteEvent(std::string aBytes)
 {
-  std::ostringstream out;
-  out << TakeHead() << std::hex << aBytes.size() << "\r\n" << aBytes << "\r\n";
-  co_return co_await WriteRaw(out.str());
+  std::ostringstream start;
+  start << TakeHead() << std::hex << aBytes.size() << "\r\n";
+  co_return co_await Write(start.str(), std::move(aBytes), "\r\n");
 }
 
 Task<error_code>
 CallerStream::Complete()
 {
-  co_return co_await WriteRaw(TakeHead() + "0\r\n\r\n");
+  co_return co_await Write(TakeHead(), {}, "0\r\n\r\n");
 }
 
 } // namespace ragwortdeck
--- a/Source/Entry/CallerStream.h
+++ b/Source/Entry/CallerStream.h
@@ -24,11 +24,15 @@
   /// The header has been sent.
   bool HasBegun() const { return mRequest.mAnswerBegun; }
   Task<error_code> WriteEvent(std::string aBytes);
+  /// Closes the connection; a pending write fails.
+  void Abort() { mStream.close(); }
   /// Sends the last chunk, which marks the answer as complete.
   Task<error_code> Complete();
 
 private:
-  Task<error_code> WriteRaw(std::string aBytes);
+  Task<error_code> Write(std::string aStart,
+                         std::string aBytes,
+                         std::string aEnd);
   std::string TakeHead();
 
   beast::tcp_stream& mStream;
--- a/Source/Entry/EntryContext.cxx
+++ b/Source/Entry/EntryContext.cxx
@@ -40,8 +40,9 @@
   , mCodec(aCodec)
   , mSettings(std::move(aSettings))
   , mLog(aLog)
+  , mMemory(aClock, mSettings.mMemoryBytes)
   , mRandom(RandomSource::SystemSeed())
-  , mPool(aContext, aClock)
+  , mPool(aContext, aClock, mMemory)
   , mCalls(mPool)
   , mTable(TableBounds(mSettings))
   , mCrashWatch(*this)
@@ -58,6 +59,15 @@
              { { "where", aWhere }, { "why", aError.what() } });
 }
 
+int
+EntryContext::MaxConnections() const
+{
+  constexpr std::size_t kCallersPercent = 60;
+  constexpr std::size_t kPercent = 100;
+  return static_cast<int>(mSettings.mMaxDescriptors * kCallersPercent /
+                          kPercent);
+}
+
 bool
 EntryContext::HasContents() const
 {
--- a/Source/Entry/EntryContext.h
+++ b/Source/Entry/EntryContext.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "Core/MemoryCharge.h"
 #include "Core/RandomSource.h"
 #include "Entry/CallClient.h"
 #include "Entry/CrashWatch.h"
@@ -43,33 +44,6 @@
   int& mCount;
 };
 
-/// \brief Counts the bytes of one answer among those in memory for its
-/// lifetime.
-class AnswerBytes
-{
-public:
-  explicit AnswerBytes(std::size_t& aTotal)
-    : mTotal(aTotal)
-  {
-  }
-  ~AnswerBytes() { mTotal -= mBytes; }
-  AnswerBytes(const AnswerBytes&) = delete;
-  AnswerBytes& operator=(const AnswerBytes&) = delete;
-
-  void Add(std::size_t aBytes) { Set(mBytes + aBytes); }
-  void Set(std::size_t aBytes)
-  {
-    mTotal = mTotal - mBytes + aBytes;
-    mBytes = aBytes;
-  }
-  std::size_t Bytes() const { return mBytes; }
-  std::size_t Total() const { return mTotal; }
-
-private:
-  std::size_t& mTotal;
-  std::size_t mBytes = 0;
-};
-
 /// \brief State that the parts of one entry process share. It is used only on
 /// one thread.
 struct EntryContext
@@ -80,17 +54,11 @@
                EntrySettings aSettings,
                DecisionLog& aLog);
 
-  /// Limit of mAnswerBytes; the answer that exceeds it fails. Several targets
-  /// that send without end must not exhaust the memory of a small host.
-  static constexpr std::size_t kMaxAnswerBytesInMemory = std::size_t(24) << 20U;
-
-  /// Limit of mEventBytes; of the streams beyond it, those end that have more
-  /// than kMaxSpareEventBytes of an event.
-  static constexpr std::size_t kMaxEventBytesInMemory = std::size_t(8) << 20U;
-  static constexpr std::size_t kMaxSpareEventBytes = std::size_t(64) << 10U;
-
   MonotonicTime Now() const { return mClock.Now(); }
 
+  /// Limit of mConnections; the other descriptors are for targets, the store
+  /// and files.
+  int MaxConnections() const;
   /// Whether a table and the targets are known, and the table was current.
   bool HasContents() const;
   /// Runs aTask. An exception ends only this task, with a log line.
@@ -143,6 +111,8 @@
   EntrySettings mSettings;
   DecisionLog& mLog;
   EntryMetrics mMetrics;
+  /// All bytes from outside that this process holds.
+  MemoryAccount mMemory;
   RandomSource mRandom;
   TargetPool mPool;
   CallClient mCalls;
@@ -169,12 +139,8 @@
   std::function<void(const Target&)> mOnSaidLeaving;
   /// Returns the number of known hosts, including this one.
   std::function<std::size_t()> mCountHosts;
-  /// Bytes of targets' answers in memory.
-  std::size_t mAnswerBytes = 0;
-  /// Bytes of streams in memory whose events are not complete.
-  std::size_t mEventBytes = 0;
-  /// Bytes of request bodies in memory.
-  std::size_t mBufferedBytes = 0;
+  /// Connections of callers.
+  int mConnections = 0;
   /// Requests of which some bytes have arrived, but not all.
   int mReading = 0;
   /// Requests being served.
--- a/Source/Entry/EntryProcess.cxx
+++ b/Source/Entry/EntryProcess.cxx
@@ -28,6 +28,8 @@
 /// Pause after a failed accept, since file descriptors may be exhausted.
 constexpr milliseconds kAcceptPause{ 50 };
 constexpr milliseconds kStatusIdleTimeout{ 5000 };
+/// Probes and readers of metrics that are served at once; others are closed.
+constexpr int kMaxStatusConnections = 32;
 constexpr int kBacklog = 512;
 
 std::uint64_t
@@ -161,6 +163,12 @@
       continue;
     }
     mContext.mMetrics.Count("entry_connections_total");
+    // A connection that is closed here frees its descriptor a little later.
+    if (mContext.mConnections >= mContext.MaxConnections() &&
+        !mContext.mMemory.EvictOne(MemoryUse::kRequest)) {
+      mContext.mMetrics.Count("entry_connections_refused_total");
+      continue;
+    }
     auto session = std::make_shared<CallerSession>(mContext, std::move(socket));
     mContext.Spawn("caller",
                    [](std::shared_ptr<CallerSession> aSession) -> Task<void> {
@@ -188,23 +196,28 @@
       co_await SleepFor(mIo, kAcceptPause);
       continue;
     }
-    mContext.Spawn("status", ServeStatus(std::move(socket)));
+    if (mStatusConnections < kMaxStatusConnections) {
+      mContext.Spawn("status", ServeStatus(std::move(socket)));
+    }
   }
 }
 
 Task<void>
 EntryProcess::ServeStatus(tcp::socket aSocket)
 {
+  const InFlight counted(mStatusConnections);
   beast::tcp_stream stream(std::move(aSocket));
   beast::flat_buffer buffer;
   while (true) {
-    http::request<http::string_body> request;
+    // Probes have no body, and what has one is not read on.
+    http::request_parser<http::empty_body> parser;
     error_code ec;
     stream.expires_after(kStatusIdleTimeout);
-    co_await http::async_read(stream, buffer, request, RedirectError(ec));
-    if (ec) {
+    co_await http::async_read_header(stream, buffer, parser, RedirectError(ec));
+    if (ec || parser.chunked() || parser.content_length().value_or(0) > 0) {
       break;
     }
+    const auto& request = parser.get();
     http::response<http::string_body> response;
     response.version(11);
     response.keep_alive(request.keep_alive());
@@ -226,6 +239,14 @@
         mContext.mMetrics.ToText() + "entry_connections_opened_total " +
         std::to_string(mContext.mPool.Opened()) + "\nentry_active " +
         std::to_string(mContext.mActive.size()) +
+        "\nentry_memory_bytes{use=\"requests\"} " +
+        std::to_string(mContext.mMemory.Used(MemoryUse::kRequest)) +
+        "\nentry_memory_bytes{use=\"answers\"} " +
+        std::to_string(mContext.mMemory.Used(MemoryUse::kAnswer)) +
+        "\nentry_memory_bytes{use=\"events\"} " +
+        std::to_string(mContext.mMemory.Used(MemoryUse::kEvent)) +
+        "\nentry_evicted_connections_total " +
+        std::to_string(mContext.mMemory.Evicted()) +
         "\nentry_log_lines_dropped_total " + std::to_string(mLog.Dropped()) +
         "\nentry_peer_messages_relayed_total " +
         std::to_string(mExchange.Relayed()) +
--- a/Source/Entry/EntryProcess.h
+++ b/Source/Entry/EntryProcess.h
@@ -51,6 +51,8 @@
   tcp::acceptor mReady;
   tcp::acceptor mMetrics;
   asio::signal_set mSignals;
+  /// Connections of readiness probes and readers of metrics.
+  int mStatusConnections = 0;
   /// The last result of a readiness probe; only changes are logged.
   bool mWasReady = false;
 };
--- a/Source/Entry/EntrySettings.cxx
+++ b/Source/Entry/EntrySettings.cxx
@@ -1,5 +1,9 @@
 #include "Entry/EntrySettings.h"
 
+#include "Core/HostResources.h"
+
+#include <algorithm>
+
 namespace ragwortdeck {
 
 EntrySettings
@@ -16,6 +20,23 @@
   constexpr double kMaxLinkMbps = 1e6;
   settings.mLinkMbps =
     static_cast<int>(aRoot.Number("link_mbps", 0, 0, kMaxLinkMbps));
+  constexpr std::int64_t kMinMemoryMb = 16;
+  constexpr std::int64_t kMaxMemoryMb = 1 << 20;
+  constexpr std::size_t kMegabyte = std::size_t(1) << 20U;
+  const auto machineMb = static_cast<std::int64_t>(std::clamp<std::size_t>(
+    HostMemoryBytes() / kMegabyte, kMinMemoryMb, kMaxMemoryMb));
+  settings.mMemoryBytes =
+    kMegabyte * static_cast<std::size_t>(aRoot.Integer(
+                  "memory_mb", machineMb, kMinMemoryMb, kMaxMemoryMb));
+  constexpr std::int64_t kMinDescriptors = 64;
+  constexpr std::int64_t kMaxDescriptors = 1 << 20;
+  const auto openable = static_cast<std::int64_t>(MaxOpenDescriptors());
+  settings.mMaxDescriptors = static_cast<std::size_t>(std::min(
+    openable,
+    aRoot.Integer("max_descriptors",
+                  std::clamp(openable, kMinDescriptors, kMaxDescriptors),
+                  kMinDescriptors,
+                  kMaxDescriptors)));
   {
     auto listen = aRoot.Section("listen");
     const auto address = listen.RequiredString("address");
--- a/Source/Entry/EntrySettings.h
+++ b/Source/Entry/EntrySettings.h
@@ -13,6 +13,9 @@
   /// Bandwidth of this host's network link; 0 when not known. Hosts with faster
   /// links do shared work for the others.
   int mLinkMbps = 0;
+  /// Memory and file descriptors that this process may use.
+  std::size_t mMemoryBytes = std::size_t(96) << 20U;
+  std::size_t mMaxDescriptors = 1024;
   Endpoint mCallers;
   /// For readiness probes.
   Endpoint mReady;
--- a/Source/Entry/PlainRelay.cxx
+++ b/Source/Entry/PlainRelay.cxx
@@ -104,7 +104,9 @@
   mRequest.mAnswerEnd = aOutcome.mAnswerEnd;
   if (aOutcome.mKind == Kind::kAnswered) {
     mRequest.mTarget = aOutcome.mTarget;
-    mLastAnswer = std::move(aOutcome.mResponse);
+    mLastAnswer = FinalAnswer{ std::move(aOutcome.mResponse),
+                               true,
+                               std::move(aOutcome.mCharge) };
     return;
   }
   mRequest.mReason = aOutcome.mTarget + ": " + aOutcome.mReason;
@@ -125,7 +127,7 @@
     exchange->Abort();
   }
   if (mLastAnswer) {
-    return { std::move(*mLastAnswer), true };
+    return std::move(*mLastAnswer);
   }
   const bool timedOut = mRequest.mEnd == CallerRequest::End::kTimedOut;
   if (mMayHaveRun || mRace->mRunning > 0) {
@@ -198,7 +200,8 @@
     RecordOutcome(outcome);
     using Kind = TargetOutcome::Kind;
     if (outcome.mKind == Kind::kAnswered &&
-        (!IsServerError(mLastAnswer->result_int()) || !route.IsIdempotent())) {
+        (!IsServerError(mLastAnswer->mResponse.result_int()) ||
+         !route.IsIdempotent())) {
       break;
     }
     if (race->mRunning > 0) {
--- a/Source/Entry/PlainRelay.h
+++ b/Source/Entry/PlainRelay.h
@@ -49,7 +49,7 @@
   /// The quarantined part that ends the request.
   std::optional<CrashWatch::Block> mBlock;
   bool mMayHaveRun = false;
-  std::optional<http::response<http::string_body>> mLastAnswer;
+  std::optional<FinalAnswer> mLastAnswer;
 };
 
 } // namespace ragwortdeck
--- a/Source/Entry/StreamRun.cxx
+++ b/Source/Entry/StreamRun.cxx
@@ -10,7 +10,6 @@
 
 namespace {
 
-constexpr std::size_t kReadBytes = 16384;
 /// A stream with a larger event fails.
 constexpr std::size_t kMaxEventBytes = std::size_t(1) << 20U;
 /// A longer wait for one event says nothing more about the engine: this host
@@ -288,7 +287,7 @@
       co_return result;
     }
     if (sent == SendResult::kPlain) {
-      result.mAnswer = FinalAnswer{ std::move(*mPlainAnswer), true };
+      result.mAnswer = std::move(*mPlainAnswer);
       co_return result;
     }
     if (sent == SendResult::kCallerGone) {
@@ -512,8 +511,8 @@
     MakeTargetRequestHeaders(*mRequest, engine.mId, mContext.Now());
   headers.mMemory = std::move(aMemory);
   headers.mLastEventId = mLastEventId;
-  auto request = std::make_shared<http::request<http::string_body>>(
-    MakeTargetRequest(*mRequest, mContext.mCodec, headers));
+  auto request = std::make_shared<TargetRequest>(
+    MakeTargetRequest(mRequest, mContext.mCodec, headers));
   mSentAt = mContext.Now();
   mWritingSince.reset();
   mWriteTime = Duration(0);
@@ -526,13 +525,17 @@
   mWritten = written;
   http::async_write(
     connection->mStream,
-    *request,
+    request->mMessage,
     [connection, request, written](const error_code& aError, std::size_t) {
       *written = !aError;
     });
-  std::unique_ptr<http::response_parser<http::buffer_body>> parser;
-  const auto ec = co_await ReadAnswerHeader(
-    mContext, engine, *connection, mRequest->mCallerHeaders.mId, parser);
+  std::unique_ptr<AnswerReader> reader;
+  const auto ec = co_await ReadAnswerHeader(mContext,
+                                            engine,
+                                            connection,
+                                            mRequest->mCallerHeaders.mId,
+                                            AnswerReader::Request::kOther,
+                                            reader);
   if (ec) {
     connection->Close();
     if (!mRequest->HasEnded()) {
@@ -541,14 +544,14 @@
     }
     co_return SendResult::kBroken;
   }
-  const auto& header = parser->get();
+  const auto& header = reader->Head();
   const auto responseHeaders =
     mContext.mCodec.ReadTargetResponseHeaders(header);
   const auto type = header[http::field::content_type];
   const bool isStream = header.result() == http::status::ok &&
                         type.find("text/event-stream") != type.npos;
   if (!isStream) {
-    co_return co_await ReadPlain(connection, std::move(parser));
+    co_return co_await ReadPlain(connection, std::move(reader));
   }
   if (!responseHeaders.mSigned ||
       header.count(http::field::content_encoding) > 0) {
@@ -568,20 +571,20 @@
     }
     mCaller.SetHead(std::move(head));
   }
-  co_return co_await RelayEvents(connection, std::move(parser));
+  co_return co_await RelayEvents(connection, std::move(reader));
 }
 
 Task<StreamRun::SendResult>
-StreamRun::ReadPlain(
-  TargetConnectionPtr aConnection,
-  std::unique_ptr<http::response_parser<http::buffer_body>> aParser)
+StreamRun::ReadPlain(TargetConnectionPtr aConnection,
+                     std::unique_ptr<AnswerReader> aReader)
 {
   std::string body;
-  AnswerBytes bytes(mContext.mAnswerBytes);
-  // aParser shows whether the body is complete.
-  const auto ec = co_await ReadBody(*aConnection, *aParser, bytes, body);
-  mRequest->mAnswerEnd = DescribeEnd(ec, aParser->need_eof());
-  const auto& header = aParser->get();
+  MemoryCharge charge(mContext.mMemory, MemoryUse::kAnswer);
+  // aReader shows whether the body is complete.
+  const auto ec =
+    co_await ReadBody(*aReader, TargetExchange::kMaxAnswerBytes, charge, body);
+  mRequest->mAnswerEnd = DescribeEnd(ec, aReader->EndsWithConnection());
+  const auto& header = aReader->Head();
   const auto responseHeaders =
     mContext.mCodec.ReadTargetResponseHeaders(header);
   const auto status = header.result_int();
@@ -590,7 +593,7 @@
   if (notRun) {
     aConnection->mRefused.insert(mRequest->mCallerHeaders.mId);
   }
-  mContext.mPool.ReleaseOrClose(aConnection, *aParser, *mWritten);
+  mContext.mPool.ReleaseOrClose(aConnection, *aReader, *mWritten);
   if (notRun) {
     mRequest->mReason =
       mEngine.mId + ": not run, status " + std::to_string(status);
@@ -599,25 +602,26 @@
   }
   // This route serves streams only, so any other success is a failure. An error
   // answer cannot be forwarded once the stream to the caller has begun.
-  if (!aParser->is_done() || status < 300 || StatesNotRun(status) ||
+  if (!aReader->IsDone() || status < 300 || StatesNotRun(status) ||
       mCaller.HasBegun()) {
     mRequest->mReason =
       mEngine.mId + ": broken answer, status " + std::to_string(status);
     co_return SendResult::kBroken;
   }
-  mPlainAnswer = MakeForwardedAnswer(header, std::move(body));
+  mPlainAnswer = FinalAnswer{ MakeForwardedAnswer(header, std::move(body)),
+                              true,
+                              std::move(charge) };
   co_return SendResult::kPlain;
 }
 
 Task<StreamRun::SendResult>
-StreamRun::RelayEvents(
-  TargetConnectionPtr aConnection,
-  std::unique_ptr<http::response_parser<http::buffer_body>> aParser)
+StreamRun::RelayEvents(TargetConnectionPtr aConnection,
+                       std::unique_ptr<AnswerReader> aReader)
 {
-  std::vector<char> buf(kReadBytes);
   EventSplitter events;
-  AnswerBytes held(mContext.mEventBytes);
+  MemoryCharge held(mContext.mMemory, MemoryUse::kEvent);
   bool first = true;
+  bool isEnded = false;
   // An engine that continues a stream does so with the next numbered event.
   bool continues = !ParseEventNumber(mLastEventId);
   while (true) {
@@ -659,42 +663,42 @@
         }
         mContext.mLoad.OnTokensGenerated(mId, GeneratedTokens());
       }
+      const auto size = event->mBytes.size();
+      if (!held.Resize(events.HeldBytes() + size)) {
+        co_return FailForMemory(*aConnection, "events fill the memory");
+      }
+      held.SetOnEvict([this] { mCaller.Abort(); });
       const auto ec = co_await mCaller.WriteEvent(std::move(event->mBytes));
+      held.SetOnEvict(nullptr);
+      held.AddProgress(size);
       if (ec) {
         mRequest->Finish(CallerRequest::End::kCallerGone);
         aConnection->Close();
         co_return SendResult::kCallerGone;
       }
     }
-    if (aParser->is_done()) {
+    if (isEnded) {
       break;
     }
-    held.Set(events.HeldBytes());
-    const bool isTooLarge = events.Size() > kMaxEventBytes;
-    if (isTooLarge || (events.Size() > EntryContext::kMaxSpareEventBytes &&
-                       held.Total() > EntryContext::kMaxEventBytesInMemory)) {
-      mContext.mMetrics.Count("entry_oversized_events_total");
-      mRequest->mReason =
-        mEngine.mId + (isTooLarge ? ": event too large"
-                                  : ": incomplete events fill the memory");
-      aConnection->Close();
-      co_return SendResult::kBroken;
+    if (events.Size() > kMaxEventBytes) {
+      co_return FailForMemory(*aConnection, "event too large");
     }
-    aParser->get().body().data = buf.data();
-    aParser->get().body().size = buf.size();
-    error_code ec;
+    if (!held.Resize(events.HeldBytes())) {
+      co_return FailForMemory(*aConnection,
+                              "incomplete events fill the memory");
+    }
+    std::string_view part;
     const auto readAt = mContext.Now();
-    co_await http::async_read_some(
-      aConnection->mStream, aConnection->mBuffer, *aParser, RedirectError(ec));
-    if (mWritingSince && (!ec || ec == http::error::need_buffer)) {
+    const auto ec = co_await aReader->ReadPart(part);
+    isEnded = !ec && part.empty();
+    if (mWritingSince && !ec) {
       mWriteTime += std::min(mContext.Now() - readAt, kLongestCountedRead);
       if (mWriteTime >= CrashWatch::kSoundAfter) {
         RecordSound();
       }
     }
-    events.Append({ buf.data(), buf.size() - aParser->get().body().size });
-    held.Set(events.HeldBytes());
-    if (ec && ec != http::error::need_buffer) {
+    events.Append(part);
+    if (ec) {
       aConnection->Close();
       if (mRequest->HasEnded()) {
         co_return SendResult::kBroken;
@@ -706,12 +710,13 @@
       co_return SendResult::kBroken;
     }
   }
-  mRequest->mAnswerEnd =
-    events.HasPartial() ? "inside_event" : DescribeEnd({}, aParser->need_eof());
+  mRequest->mAnswerEnd = events.HasPartial()
+                           ? "inside_event"
+                           : DescribeEnd({}, aReader->EndsWithConnection());
   // An unmarked stream is complete where its connection ends between events,
   // unless the engine was stopped there or the generation had not begun.
   bool brokenOff = events.HasPartial();
-  if (!brokenOff && aParser->need_eof()) {
+  if (!brokenOff && aReader->EndsWithConnection()) {
     aConnection->Close();
     if (mMayBeStopped) {
       co_await WaitForMove();
@@ -726,7 +731,7 @@
     aConnection->Close();
     co_return SendResult::kBroken;
   }
-  if (!aParser->need_eof()) {
+  if (!aReader->EndsWithConnection()) {
     RecordSound();
   } else if (mWritingSince && !mSoundRecorded && !mMoving) {
     const auto& headers = mRequest->mCallerHeaders;
@@ -735,11 +740,20 @@
   }
   mContext.mHealth.Succeeded(mEngine.mId, mFirstEventAt - mSentAt);
   mConnection.reset();
-  mContext.mPool.ReleaseOrClose(aConnection, *aParser, *mWritten);
+  mContext.mPool.ReleaseOrClose(aConnection, *aReader, *mWritten);
   const auto ec = co_await mCaller.Complete();
   co_return ec ? SendResult::kCallerGone : SendResult::kComplete;
 }
 
+StreamRun::SendResult
+StreamRun::FailForMemory(TargetConnection& aConnection, const char* aReason)
+{
+  mContext.mMetrics.Count("entry_oversized_events_total");
+  mRequest->mReason = mEngine.mId + ": " + aReason;
+  aConnection.Close();
+  return SendResult::kBroken;
+}
+
 std::optional<DepartingRun>
 StreamRun::Departing() const
 {
--- a/Source/Entry/StreamRun.h
+++ b/Source/Entry/StreamRun.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "Entry/AnswerReader.h"
 #include "Entry/CallerStream.h"
 #include "Entry/EntryContext.h"
 #include "Serving/DeparturePlan.h"
@@ -107,12 +108,12 @@
   /// Records for the log why the current engine's answer failed.
   void RecordFailure(const error_code& aError);
   Task<SendResult> SendOnce(std::optional<RunMemory> aMemory);
-  Task<SendResult> RelayEvents(
-    TargetConnectionPtr aConnection,
-    std::unique_ptr<http::response_parser<http::buffer_body>> aParser);
-  Task<SendResult> ReadPlain(
-    TargetConnectionPtr aConnection,
-    std::unique_ptr<http::response_parser<http::buffer_body>> aParser);
+  Task<SendResult> RelayEvents(TargetConnectionPtr aConnection,
+                               std::unique_ptr<AnswerReader> aReader);
+  /// Ends an answer whose events take too much memory.
+  SendResult FailForMemory(TargetConnection& aConnection, const char* aReason);
+  Task<SendResult> ReadPlain(TargetConnectionPtr aConnection,
+                             std::unique_ptr<AnswerReader> aReader);
   Task<void> Move();
   /// Copies the run's memory to aTo, first while it runs and then stopped. True
   /// when another destination may be tried.
@@ -164,7 +165,7 @@
   MonotonicTime mLastEventAt;
   /// Expected time to the first token at the chosen engine.
   Milliseconds mExpectedFirstToken{ 0 };
-  std::optional<http::response<http::string_body>> mPlainAnswer;
+  std::optional<FinalAnswer> mPlainAnswer;
   bool mPlacedWhileWaiting = false;
   /// Closes mConnection when the stream makes no progress until mProgressDue
   /// and may go on at another engine.
--- a/Source/Entry/TargetConnection.cxx
+++ b/Source/Entry/TargetConnection.cxx
@@ -11,6 +11,14 @@
   mStream.socket().close(ec);
 }
 
+void
+TargetConnection::ShrinkBuffer()
+{
+  mBuffer.shrink_to_fit();
+  // Shrinking needs no room.
+  static_cast<void>(ChargeBuffer());
+}
+
 bool
 TargetConnection::IsReusable()
 {
--- a/Source/Entry/TargetConnection.h
+++ b/Source/Entry/TargetConnection.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "Core/Clock.h"
+#include "Core/MemoryCharge.h"
 #include "Core/Settings.h"
 #include "Entry/Asio.h"
 
@@ -16,11 +17,18 @@
   /// fit fails the answer.
   static constexpr std::size_t kMaxBufferedBytes = std::size_t(128) << 10U;
 
-  TargetConnection(asio::io_context& aContext, const Endpoint& aEndpoint)
+  TargetConnection(asio::io_context& aContext,
+                   const Endpoint& aEndpoint,
+                   MemoryAccount& aMemory)
     : mEndpoint(aEndpoint)
     , mStream(aContext)
+    , mCharge(aMemory, MemoryUse::kAnswer)
   {
   }
+  /// Charges the memory of mBuffer; false when there is no room for it.
+  bool ChargeBuffer() { return mCharge.Resize(mBuffer.capacity()); }
+  /// Frees what mBuffer does not need.
+  void ShrinkBuffer();
   /// Closes the socket; pending operations fail.
   void Close();
   /// True when the connection is open and no unread bytes have arrived.
@@ -29,6 +37,7 @@
   Endpoint mEndpoint;
   beast::tcp_stream mStream;
   beast::flat_buffer mBuffer{ kMaxBufferedBytes };
+  MemoryCharge mCharge;
   /// The connection was taken from the pool, so a late copy of an answer to an
   /// earlier request may arrive on it.
   bool mReused = false;
--- a/Source/Entry/TargetExchange.cxx
+++ b/Source/Entry/TargetExchange.cxx
@@ -11,46 +11,24 @@
 
 /// Late answers to other requests that are skipped on one connection.
 constexpr int kMaxLateAnswers = 3;
-constexpr std::size_t kReadBytes = 8192;
 /// A longer late answer fails the connection.
 constexpr std::size_t kMaxDiscardedBytes = std::size_t(256) << 10U;
 
-/// Reads the rest of the body of aParser; aTake gets each part and returns
-/// whether to go on.
 Task<error_code>
-ReadParts(TargetConnection& aConnection,
-          http::response_parser<http::buffer_body>& aParser,
-          std::function<bool(std::string_view)> aTake)
+DiscardBody(AnswerReader& aReader)
 {
-  std::vector<char> buf(kReadBytes);
-  error_code ec;
-  while (!aParser.is_done()) {
-    aParser.get().body().data = buf.data();
-    aParser.get().body().size = buf.size();
-    co_await http::async_read_some(
-      aConnection.mStream, aConnection.mBuffer, aParser, RedirectError(ec));
-    const bool proceed =
-      aTake({ buf.data(), buf.size() - aParser.get().body().size });
-    if (ec && ec != http::error::need_buffer) {
+  std::size_t size = 0;
+  while (true) {
+    std::string_view part;
+    const auto ec = co_await aReader.ReadPart(part);
+    if (ec || part.empty()) {
       co_return ec;
     }
-    if (!proceed) {
+    size += part.size();
+    if (size > kMaxDiscardedBytes) {
       co_return http::error::body_limit;
     }
   }
-  co_return error_code{};
-}
-
-Task<error_code>
-DiscardBody(TargetConnection& aConnection,
-            http::response_parser<http::buffer_body>& aParser)
-{
-  std::size_t size = 0;
-  co_return co_await ReadParts(
-    aConnection, aParser, [&](std::string_view aPart) {
-      size += aPart.size();
-      return size <= kMaxDiscardedBytes;
-    });
 }
 
 } // namespace
@@ -76,54 +54,46 @@
 }
 
 Task<error_code>
-ReadBody(TargetConnection& aConnection,
-         http::response_parser<http::buffer_body>& aParser,
-         AnswerBytes& aBytes,
+ReadBody(AnswerReader& aReader,
+         std::uint64_t aMaxBytes,
+         MemoryCharge& aCharge,
          std::string& aBody)
 {
-  co_return co_await ReadParts(
-    aConnection, aParser, [&](std::string_view aPart) {
-      if (aBytes.Bytes() + aPart.size() > TargetExchange::kMaxAnswerBytes ||
-          aBytes.Total() + aPart.size() >
-            EntryContext::kMaxAnswerBytesInMemory) {
-        return false;
-      }
-      aBytes.Add(aPart.size());
-      aBody.append(aPart);
-      return true;
-    });
+  while (true) {
+    std::string_view part;
+    const auto ec = co_await aReader.ReadPart(part);
+    if (ec || part.empty()) {
+      co_return ec;
+    }
+    aCharge.AddProgress(part.size());
+    if (aBody.size() + part.size() > aMaxBytes || !aCharge.Grow(part.size())) {
+      co_return http::error::body_limit;
+    }
+    aBody.append(part);
+  }
 }
 
 Task<error_code>
-ReadAnswerHeader(
-  EntryContext& aContext,
-  Target aTarget,
-  TargetConnection& aConnection,
-  std::string aId,
-  std::unique_ptr<http::response_parser<http::buffer_body>>& aParser)
+ReadAnswerHeader(EntryContext& aContext,
+                 Target aTarget,
+                 TargetConnectionPtr aConnection,
+                 std::string aId,
+                 AnswerReader::Request aRequest,
+                 std::unique_ptr<AnswerReader>& aReader)
 {
-  bool isFirst = !aConnection.mReused;
+  bool isFirst = !aConnection->mReused;
   for (int late = 0; late <= kMaxLateAnswers; ++late) {
-    aParser = std::make_unique<http::response_parser<http::buffer_body>>();
-    aParser->body_limit(std::numeric_limits<std::uint64_t>::max());
-    error_code ec;
-    co_await http::async_read_header(
-      aConnection.mStream, aConnection.mBuffer, *aParser, RedirectError(ec));
+    aReader = std::make_unique<AnswerReader>(aConnection, aRequest);
+    auto ec = co_await aReader->ReadHead();
     if (ec) {
       co_return ec;
     }
-    // A caller would get the coded bytes, or the bytes of another answer, as
-    // the whole body.
-    if (FramingOf(aParser->get(), aParser->get().version()) !=
-        BodyFraming::kClear) {
-      co_return http::error::bad_transfer_encoding;
-    }
-    const auto status = aParser->get().result_int();
+    const auto status = aReader->Head().result_int();
     if (status < kStatusOk) {
       continue;
     }
     const auto responseHeaders =
-      aContext.mCodec.ReadTargetResponseHeaders(aParser->get());
+      aContext.mCodec.ReadTargetResponseHeaders(aReader->Head());
     aContext.RecordAnswer(aTarget, status, responseHeaders);
     // A refusal may come without the id, from a target that did not read the
     // request. On a reused connection, or after the answer to another request,
@@ -132,13 +102,14 @@
         (responseHeaders.mId.empty() && responseHeaders.mNotRun && isFirst)) {
       co_return error_code{};
     }
-    // The answer belongs to another request. Without a length, the start of the
-    // next answer cannot be found.
-    if (responseHeaders.mId.empty() || aParser->need_eof()) {
+    // The answer belongs to another request. The start of the next one cannot
+    // be found without a length, or if only answers to HEAD have no body.
+    if (responseHeaders.mId.empty() || aReader->EndsWithConnection() ||
+        aRequest == AnswerReader::Request::kHead) {
       break;
     }
     isFirst = false;
-    ec = co_await DiscardBody(aConnection, *aParser);
+    ec = co_await DiscardBody(*aReader);
     if (ec) {
       co_return ec;
     }
@@ -179,8 +150,8 @@
   }
   const auto headers =
     MakeTargetRequestHeaders(mRequest, aTarget.mId, mContext.Now());
-  auto request = std::make_shared<http::request<http::string_body>>(
-    MakeTargetRequest(mRequest, mContext.mCodec, headers));
+  auto request = std::make_shared<TargetRequest>(
+    MakeTargetRequest(mSharedRequest, mContext.mCodec, headers));
   outcome.mKind = TargetOutcome::Kind::kBroken;
   mConnection->mStream.expires_never();
   // The answer may arrive before the whole body is sent, so the write runs
@@ -189,22 +160,27 @@
   auto written = std::make_shared<bool>(false);
   http::async_write(
     connection->mStream,
-    *request,
+    request->mMessage,
     [connection, request, written](const error_code& aError, std::size_t) {
       *written = !aError;
     });
-  std::unique_ptr<http::response_parser<http::buffer_body>> parser;
-  auto ec = co_await ReadAnswerHeader(
-    mContext, aTarget, *connection, mRequest.mCallerHeaders.mId, parser);
+  std::unique_ptr<AnswerReader> reader;
+  auto ec =
+    co_await ReadAnswerHeader(mContext,
+                              aTarget,
+                              connection,
+                              mRequest.mCallerHeaders.mId,
+                              mRequest.mRequest.method() == http::verb::head
+                                ? AnswerReader::Request::kHead
+                                : AnswerReader::Request::kOther,
+                              reader);
   const auto answeredAt = mContext.Now();
   std::string body;
+  outcome.mCharge = MemoryCharge(mContext.mMemory, MemoryUse::kAnswer);
   if (!ec) {
-    if (mRequest.mRequest.method() == http::verb::head) {
-      parser->skip(true);
-    }
-    ec = co_await ReadBody(*connection, *parser, mAnswerBytes, body);
+    ec = co_await ReadBody(*reader, kMaxAnswerBytes, outcome.mCharge, body);
   }
-  outcome.mAnswerEnd = DescribeEnd(ec, parser->need_eof());
+  outcome.mAnswerEnd = DescribeEnd(ec, reader->EndsWithConnection());
   const auto now = mContext.Now();
   if (mAborted) {
     outcome.mReason = "ended";
@@ -222,7 +198,7 @@
     connection->Close();
     co_return outcome;
   }
-  const auto& header = parser->get();
+  const auto& header = reader->Head();
   const auto responseHeaders =
     mContext.mCodec.ReadTargetResponseHeaders(header);
   if (responseHeaders.mLoad) {
@@ -236,7 +212,7 @@
   if (notRun) {
     connection->mRefused.insert(mRequest.mCallerHeaders.mId);
   }
-  mContext.mPool.ReleaseOrClose(connection, *parser, *written);
+  mContext.mPool.ReleaseOrClose(connection, *reader, *written);
   if (notRun) {
     outcome.mKind = TargetOutcome::Kind::kNotRun;
     outcome.mReason = "not run, status " + std::to_string(status);
@@ -258,7 +234,8 @@
   if (success) {
     mContext.mHealth.Succeeded(aTarget.mId, now - began);
     const auto& parts = mRequest.mCallerHeaders.mPromptParts;
-    if (parser->need_eof() && now - answeredAt < CrashWatch::kSoundAfter) {
+    if (reader->EndsWithConnection() &&
+        now - answeredAt < CrashWatch::kSoundAfter) {
       mContext.mCrashWatch.OnUnmarkedEnd(
         aTarget, mRequest.mCallerHeaders.mId, parts, answeredAt);
     } else {
--- a/Source/Entry/TargetExchange.h
+++ b/Source/Entry/TargetExchange.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "Entry/AnswerReader.h"
 #include "Entry/CallerRequest.h"
 #include "Entry/EntryContext.h"
 
@@ -25,6 +26,8 @@
   /// See DescribeEnd().
   const char* mAnswerEnd = "";
   http::response<http::string_body> mResponse;
+  /// The memory of mResponse.
+  MemoryCharge mCharge;
   /// The quarantined part that kept the request from being sent.
   std::optional<CrashWatch::Block> mBlock;
 };
@@ -41,7 +44,6 @@
     : mContext(aContext)
     , mSharedRequest(std::move(aRequest))
     , mRequest(*mSharedRequest)
-    , mAnswerBytes(aContext.mAnswerBytes)
   {
   }
 
@@ -56,7 +58,6 @@
   std::shared_ptr<const CallerRequest> mSharedRequest;
   const CallerRequest& mRequest;
   TargetConnectionPtr mConnection;
-  AnswerBytes mAnswerBytes;
   bool mAborted = false;
 };
 
@@ -74,22 +75,22 @@
 
 /// Reads from aConnection up to the header of aTarget's answer to request aId,
 /// and discards interim answers and late answers to other requests. What the
-/// target says of itself in any of them is recorded. On success aParser holds
+/// target says of itself in any of them is recorded. On success aReader holds
 /// the header.
 Task<error_code>
-ReadAnswerHeader(
-  EntryContext& aContext,
-  Target aTarget,
-  TargetConnection& aConnection,
-  std::string aId,
-  std::unique_ptr<http::response_parser<http::buffer_body>>& aParser);
+ReadAnswerHeader(EntryContext& aContext,
+                 Target aTarget,
+                 TargetConnectionPtr aConnection,
+                 std::string aId,
+                 AnswerReader::Request aRequest,
+                 std::unique_ptr<AnswerReader>& aReader);
 
-/// Reads the rest of the body of aParser into aBody, up to
-/// TargetExchange::kMaxAnswerBytes and as aBytes permits, to which it is added.
+/// Reads the rest of the body into aBody, up to aMaxBytes and as aCharge
+/// permits, to which it is added.
 Task<error_code>
-ReadBody(TargetConnection& aConnection,
-         http::response_parser<http::buffer_body>& aParser,
-         AnswerBytes& aBytes,
+ReadBody(AnswerReader& aReader,
+         std::uint64_t aMaxBytes,
+         MemoryCharge& aCharge,
          std::string& aBody);
 
 } // namespace ragwortdeck
--- a/Source/Entry/TargetPool.cxx
+++ b/Source/Entry/TargetPool.cxx
@@ -1,12 +1,16 @@
 #include "Entry/TargetPool.h"
 
+#include "Entry/AnswerReader.h"
 #include "Entry/HttpHeaders.h"
 
 namespace ragwortdeck {
 
-TargetPool::TargetPool(asio::io_context& aContext, const Clock& aClock)
+TargetPool::TargetPool(asio::io_context& aContext,
+                       const Clock& aClock,
+                       MemoryAccount& aMemory)
   : mContext(aContext)
   , mClock(aClock)
+  , mMemory(aMemory)
 {
 }
 
@@ -41,7 +45,8 @@
       co_return connection;
     }
   }
-  auto connection = std::make_shared<TargetConnection>(mContext, aEndpoint);
+  auto connection =
+    std::make_shared<TargetConnection>(mContext, aEndpoint, mMemory);
   connection->mLastRequest = std::move(aRequest);
   ++mOpened;
   error_code ec;
@@ -77,18 +82,17 @@
     mClock.Now() +
     (aKeepAliveSeconds > 0 ? stated : Duration(kDefaultIdleTimeout));
   aConnection->mStream.expires_never();
+  aConnection->ShrinkBuffer();
   mIdle[aConnection->mEndpoint].push_back(std::move(aConnection));
 }
 
 void
-TargetPool::ReleaseOrClose(
-  TargetConnectionPtr aConnection,
-  const http::response_parser<http::buffer_body>& aParser,
-  bool aSent)
+TargetPool::ReleaseOrClose(TargetConnectionPtr aConnection,
+                           const AnswerReader& aAnswer,
+                           bool aSent)
 {
-  if (aSent && aParser.is_done() && aParser.get().keep_alive() &&
-      !aParser.need_eof()) {
-    Release(std::move(aConnection), KeepAliveSeconds(aParser.get()));
+  if (aSent && aAnswer.MayReuse()) {
+    Release(std::move(aConnection), KeepAliveSeconds(aAnswer.Head()));
   } else {
     aConnection->Close();
   }
--- a/Source/Entry/TargetPool.h
+++ b/Source/Entry/TargetPool.h
@@ -7,6 +7,8 @@
 
 namespace ragwortdeck {
 
+class AnswerReader;
+
 /// \brief Pool of idle connections to targets; the one used last is reused
 /// first.
 class TargetPool
@@ -20,7 +22,9 @@
   /// A connection with more refusals is closed, since all are remembered.
   static constexpr std::size_t kMaxRefusals = 32;
 
-  TargetPool(asio::io_context& aContext, const Clock& aClock);
+  TargetPool(asio::io_context& aContext,
+             const Clock& aClock,
+             MemoryAccount& aMemory);
 
   /// Returns an idle connection for the request aRequest, or opens one if there
   /// is none or aNewConnection is set; null when the target cannot be reached.
@@ -35,14 +39,16 @@
   /// refusals arrived on it.
   /// aKeepAliveSeconds is the idle timeout that the target stated, 0 for none.
   void Release(TargetConnectionPtr aConnection, int aKeepAliveSeconds);
-  /// Returns a connection to the pool if the answer in aParser is complete and
+  /// Returns a connection to the pool if aAnswer is complete and
   /// permits reuse, and the whole request was sent (aSent); closes it
   /// otherwise.
   void ReleaseOrClose(TargetConnectionPtr aConnection,
-                      const http::response_parser<http::buffer_body>& aParser,
+                      const AnswerReader& aAnswer,
                       bool aSent);
   /// Drops connections whose idle time is over or that the target closed.
   void Sweep();
+  /// The account to which the connections are charged.
+  MemoryAccount& Memory() { return mMemory; }
   /// Number of connection attempts so far.
   std::uint64_t Opened() const { return mOpened; }
 
@@ -53,6 +59,7 @@
 
   asio::io_context& mContext;
   const Clock& mClock;
+  MemoryAccount& mMemory;
   std::map<Endpoint, std::vector<TargetConnectionPtr>> mIdle;
   std::uint64_t mOpened = 0;
 };
--- /dev/null
+++ b/Tests/ClientLimits/router_site.py
@@ -0,0 +1,151 @@
+"""One router process with a stand-in of a service."""
+
+import asyncio
+import subprocess
+
+import wire
+from process import MB, Process
+
+KEYS = "keys:\n- {id: k1, secret: a-secret-of-16-bytes-or-more}\n"
+TEAM = "bakers"
+# Of the machine that the router is told it runs on.
+MEMORY_MB = 128
+MAX_BODY = 4 * MB
+MAX_HEADER = 256 << 10
+# So long that no test depends on them.
+TIMEOUT_MS = 120000
+LARGE_ANSWER = 6 * MB
+PROGRAM = "ragwort-router"
+CTL = "ragwort-ctl"
+
+SETTINGS = """\
+host: limits
+listen: {address}:{port}
+threads: 2
+dispatcher: least-outstanding
+load_period_ms: 0
+{keys}limits:
+  max_body_bytes: {max_body}
+  max_header_bytes: {max_header}
+  idle_timeout_ms: {timeout}
+  request_timeout_ms: {timeout}
+  slow_caller_timeout_ms: {timeout}
+timeouts: {{service_ms: {timeout}}}
+bootstrap_view:
+  teams:
+  - {{team: bakers}}
+  kinds:
+  - {{kind: level, class: short, repeat: idempotent}}
+  targets:
+  - {{id: stock-1, role: service, address: "{address}:9301", models: [stock]}}
+  entry_hosts: [limits]
+"""
+
+
+class RouterSite:
+
+    def __init__(self, folder, programs, net, descriptors):
+        self.program = str(programs / PROGRAM)
+        self.ctl = str(programs / CTL)
+        self.folder = folder
+        self.descriptors = descriptors
+        self.address = f"127.{net}.0.1"
+        self.port = 9300
+        self.process = None
+        self.token = None
+        self.findings = []
+        self.tasks = []
+
+    def write_settings(self):
+        """Programs from before a setting was known are started without it."""
+        path = self.folder / "router.yaml"
+        base = SETTINGS.format(
+            address=self.address,
+            port=self.port,
+            keys=KEYS,
+            max_body=MAX_BODY,
+            max_header=MAX_HEADER,
+            timeout=TIMEOUT_MS,
+        )
+        path.write_text(base + f"memory_mb: {MEMORY_MB}\n")
+        check = [self.program, "--config", str(path), "--check-config"]
+        if subprocess.run(check, capture_output=True).returncode:
+            path.write_text(base)
+        return path
+
+    def issue_token(self):
+        path = self.folder / "ctl.yaml"
+        path.write_text(KEYS)
+        command = [self.ctl, "--config", str(path), "team-key", TEAM]
+        return subprocess.run(
+            command, check=True, capture_output=True, text=True
+        ).stdout.strip()
+
+    async def serve(self, reader, writer):
+        try:
+            while True:
+                first, headers = await wire.read_head(reader)
+                await wire.read_body(reader, headers)
+                body = b"a" * LARGE_ANSWER if "large" in first else b'{"left":3}'
+                head = {"Content-Type": "application/json"}
+                writer.write(wire.message("HTTP/1.1 200 OK", head, body))
+                await wire.drain(writer)
+        except (wire.Broken, asyncio.CancelledError):
+            pass  # The router closed the connection, or the test ends.
+        wire.close(writer)
+
+    async def start(self):
+        self.token = self.issue_token()
+        await asyncio.start_server(self.serve, self.address, 9301)
+        self.process = Process(
+            [self.program, "--config", str(self.write_settings())],
+            self.folder / "router.log",
+            self.descriptors,
+        )
+        self.tasks.append(asyncio.ensure_future(self.process.watch()))
+        while self.process.is_up():
+            status, _ = await self.ask(b"GET /healthz HTTP/1.1\r\nHost: x\r\n\r\n")
+            if status == 200:
+                return
+            await asyncio.sleep(0.05)
+
+    def head(self, operation, method="GET"):
+        """Returns a function that makes the head of a request with one more
+        header."""
+        return lambda header: (
+            f"{method} /v1/services/stock/{operation} HTTP/1.1\r\nHost: limits\r\n"
+            f"Authorization: Bearer {self.token}\r\n"
+            f"Content-Type: application/json\r\n{header}\r\n\r\n"
+        ).encode()
+
+    def crowd_head(self, _):
+        return self.head("level", "POST")
+
+    def large_request(self, _):
+        return self.head("large")("X-None: 1")
+
+    async def ask(self, request):
+        """Sends a request; returns the status, or why there is none."""
+        try:
+            reader, writer = await asyncio.open_connection(self.address, self.port)
+            writer.write(request)
+            first, headers = await wire.read_head(reader)
+            body = await wire.read_body(reader, headers)
+            writer.close()
+            return int(first.split()[1]), body
+        except (OSError, wire.Broken) as ec:
+            return f"no answer: {ec!r}", b""
+
+    async def ask_ordinary(self):
+        status, body = await self.ask(self.head("level")("X-None: 1"))
+        return status if status != 200 or body == b'{"left":3}' else "another body"
+
+    async def ask_with(self, message):
+        status, _ = await self.ask(message.whole())
+        return status
+
+    def end(self):
+        for task in self.tasks:
+            task.cancel()
+        if self.process:
+            self.process.end()
--- a/Tests/Entry/FieldFailuresTest.cxx
+++ b/Tests/Entry/FieldFailuresTest.cxx
@@ -94,8 +94,8 @@
     }
   }
   /// Runs until the host has closed all connections to the targets; returns the
-  /// largest value of aBytes meanwhile.
-  std::size_t LargestUntilClosed(const std::size_t& aBytes)
+  /// largest number of bytes charged to aUse meanwhile.
+  std::size_t LargestUntilClosed(MemoryUse aUse)
   {
     std::size_t most = 0;
     mWorld.RunUntil([&] {
@@ -103,7 +103,7 @@
       for (const auto& it : mEndless) {
         open = it->Drip() || open;
       }
-      most = std::max(most, aBytes);
+      most = std::max(most, mWorld.Context().mMemory.Used(aUse));
       return !open;
     });
     return most;
@@ -790,25 +790,26 @@
                                         Chunk(std::string(16384, 'x'))) <
                      2 * kMegabyte + kSocketBuffers);
     });
-    Section("answers of many targets at once stay within the host's memory",
-            [&] {
-              EndlessTargets targets(12,
-                                     "unsafe",
-                                     "HTTP/1.1 200 OK\r\nAttempt-Id: id1\r\n"
-                                     "Response-Seal: s\r\n"
-                                     "Transfer-Encoding: chunked\r\n\r\n",
-                                     Chunk(std::string(65536, 'x')));
-              auto& world = targets.World();
-              const auto& bytes = world.Context().mAnswerBytes;
-              const auto most = targets.LargestUntilClosed(bytes);
-              CPPUNIT_ASSERT(most > 0);
-              CPPUNIT_ASSERT(most <= EntryContext::kMaxAnswerBytesInMemory);
-              for (const auto& it : targets.Callers()) {
-                CPPUNIT_ASSERT(
-                  world.Reply(*it, "\r\n\r\n").starts_with("HTTP/1.1 502"));
-              }
-              CPPUNIT_ASSERT_EQUAL(std::size_t(0), bytes);
-            });
+    Section(
+      "answers of many targets at once stay within the host's memory", [&] {
+        EndlessTargets targets(12,
+                               "unsafe",
+                               "HTTP/1.1 200 OK\r\nAttempt-Id: id1\r\n"
+                               "Response-Seal: s\r\n"
+                               "Transfer-Encoding: chunked\r\n\r\n",
+                               Chunk(std::string(65536, 'x')));
+        auto& world = targets.World();
+        const auto& memory = world.Context().mMemory;
+        const auto most = targets.LargestUntilClosed(MemoryUse::kAnswer);
+        CPPUNIT_ASSERT(most > 0);
+        CPPUNIT_ASSERT(most <= 24 * kMegabyte);
+        CPPUNIT_ASSERT(most <= memory.Limit(MemoryUse::kAnswer));
+        for (const auto& it : targets.Callers()) {
+          CPPUNIT_ASSERT(
+            world.Reply(*it, "\r\n\r\n").starts_with("HTTP/1.1 502"));
+        }
+        CPPUNIT_ASSERT_EQUAL(std::size_t(0), memory.Used(MemoryUse::kAnswer));
+      });
   }
 
   /// Guards against streams whose events do not end, which together take more
@@ -820,10 +821,12 @@
                            RelayWorld::StreamHead("id1") + RelayWorld::Event(1),
                            Chunk(std::string(1024, 'x')));
     auto& world = targets.World();
-    const auto& bytes = world.Context().mEventBytes;
-    const auto most = targets.LargestUntilClosed(bytes);
-    CPPUNIT_ASSERT(most > EntryContext::kMaxEventBytesInMemory / 2);
-    CPPUNIT_ASSERT(most <= EntryContext::kMaxEventBytesInMemory);
+    const auto& memory = world.Context().mMemory;
+    constexpr std::size_t kMaxBytes = std::size_t(8) << 20U;
+    const auto most = targets.LargestUntilClosed(MemoryUse::kEvent);
+    CPPUNIT_ASSERT(most > kMaxBytes / 2);
+    CPPUNIT_ASSERT(most <= kMaxBytes);
+    CPPUNIT_ASSERT(most <= memory.Limit(MemoryUse::kEvent));
     Section("none of them looks complete", [&] {
       for (const auto& it : targets.Callers()) {
         const auto reply = world.Reply(*it, kEndOfStream);
@@ -835,7 +838,7 @@
       CPPUNIT_ASSERT(
         Contains(world.Log(), "incomplete events fill the memory"));
     });
-    CPPUNIT_ASSERT_EQUAL(std::size_t(0), bytes);
+    CPPUNIT_ASSERT_EQUAL(std::size_t(0), memory.Used(MemoryUse::kEvent));
   }
 
   /// Guards against requests that are taken late in a planned stop and cut at
@@ -1007,9 +1010,9 @@
       expect("no request\r\n\r\n" + std::string(kMegabyte, 'x'), "400", "bad");
     });
     Section("too many bodies in memory", [&] {
-      world.Context().mBufferedBytes += 25 * kMegabyte;
+      MemoryCharge served(world.Context().mMemory, MemoryUse::kRequest);
+      CPPUNIT_ASSERT(served.Resize(15 * kMegabyte));
       expect(request(4 * kMegabyte), "503", "too many bodies in memory");
-      world.Context().mBufferedBytes -= 25 * kMegabyte;
     });
     Section("a caller that goes on sending does not hold up a stop", [&] {
       const auto caller = world.Call(request(8 * kMegabyte).substr(0, 4096));
