Filters: Charge requests and replies of the router to one account of memory

What callers saw: the clients that ended the entry process ended the router as well: many bodies, chunks or heads that stop just short of their end, and replies that nobody reads.

Cause: the limits held for one request each. QHttpServer keeps what has arrived of each until it is whole, in the socket's buffer and in its parser; chunk sizes and extensions counted nowhere, so that small chunks held several times their body. A whole reply waited in the socket's buffer without a limit or an end. Connections could take all descriptors, after which Qt accepts no more.

Change: each connection has a charge to the router's MemoryAccount for what has arrived and the copies that are made of it, and one for what its caller has not read. RequestScanner follows chunks with ChunkDecoder, so trailers have a limit too. Without room, the connection with the least progress is refused or closed. Accepted sockets have small buffers, so that one turn of the event loop reads little from each; accepting goes on after an error.

TestRefusedWhileSending let an idle connection take the only place. An idle one gives way now, as TestIdleGivesWay checks, so the test's first connection has a stream that is served; what it checks of the refusal is the same.

ServiceCaller takes a reply for too large when the account has no room for it.

--- a/Source/Entry/CallerSession.cxx
+++ b/Source/Entry/CallerSession.cxx
@@ -371,7 +371,8 @@
     }
     const auto ec = co_await ReadSome(aRequest.mRequest.body().size());
     if (ec == asio::error::no_memory) {
-      aRequest.mRequest.body() = {};
+      // An assignment would keep the capacity.
+      std::string().swap(aRequest.mRequest.body());
       co_await RefuseForMemory(aRequest);
     }
     if (ec) {
--- a/Source/Filters/CallerExchange.cxx
+++ b/Source/Filters/CallerExchange.cxx
@@ -83,7 +83,12 @@
     aHeaders.emplace_back("Connection", "close");
   }
   const auto head = ReplyHead(kStatusOk, aHeaders);
-  if (IsOpen()) {
+  if (!IsOpen()) {
+    return;
+  }
+  if (mGate) {
+    mGate->Write(head);
+  } else {
     mSocket->write(head);
   }
 }
@@ -123,9 +128,12 @@
   if (!IsOpen()) {
     return;
   }
-  mSocket->write(aBytes);
-  // Without this, Qt writes in a later turn of the event loop.
-  mSocket->flush();
+  if (mGate) {
+    mGate->Write(aBytes);
+  } else {
+    mSocket->write(aBytes);
+    mSocket->flush();
+  }
 }
 
 void
--- a/Source/Filters/CallerServer.cxx
+++ b/Source/Filters/CallerServer.cxx
@@ -4,6 +4,7 @@
 
 #include <QSslServer>
 #include <QSslSocket>
+#include <algorithm>
 #include <arpa/inet.h>
 #include <cerrno>
 #include <cstring>
@@ -24,6 +25,22 @@
 constexpr std::chrono::seconds kRetryAfterFull{ 1 };
 /// Bound of the connections that a flood of callers over the limit can hold.
 constexpr std::size_t kMaxLingering = 256;
+/// The same, as a divisor of the limit of connections.
+constexpr std::size_t kLingeringDivisor = 8;
+/// Limits what one turn of the event loop reads from each connection: those
+/// that are closed for their memory free it in the next turn.
+constexpr int kReceiveBytes = 32768;
+/// Charged for each connection beside its bytes.
+constexpr std::size_t kConnectionBytes = 16384;
+/// Copies that the parser, the filters and the call to a target hold beside the
+/// bytes as they arrived, with the room in which they grow.
+constexpr std::size_t kHeaderCopies = 3;
+constexpr std::size_t kBodyCopies = 6;
+/// Bytes on the wire of each byte of a body in the smallest chunks.
+constexpr std::size_t kMaxWireBytes = 6;
+constexpr std::chrono::seconds kRetryWithoutMemory{ 1 };
+/// Pause after a connection could not be accepted for want of a descriptor.
+constexpr std::chrono::milliseconds kAcceptPause{ 50 };
 
 /// Listens on plain sockets or, with QSslServer as base, on TLS.
 template<typename Base>
@@ -34,6 +51,11 @@
     : mConnections(aConnections)
   {
     this->setMaxPendingConnections(kBacklog);
+    // Qt stops to accept after an error, such as too many open descriptors.
+    QObject::connect(this, &QTcpServer::acceptError, this, [this] {
+      QTimer::singleShot(
+        kAcceptPause, this, [this] { this->resumeAccepting(); });
+    });
   }
 
   // QHttpServer takes each connection here and connects to readyRead after
@@ -124,16 +146,106 @@
   return fd;
 }
 
+Verdict
+NoMemory()
+{
+  Verdict verdict = Refusal(kStatusUnavailable,
+                            "no_memory",
+                            "This host has no memory for the request.");
+  verdict.mRetryAfter = kRetryWithoutMemory;
+  return verdict;
+}
+
 } // namespace
 
-CallerGate::CallerGate(QTcpSocket& aSocket, CallerConnections& aOwner)
+CallerGate::CallerGate(QTcpSocket& aSocket,
+                       CallerConnections& aOwner,
+                       MemoryCharge aCharge)
   : QObject(&aSocket)
   , mSocket(aSocket)
   , mOwner(aOwner)
   , mScanner(aOwner.Limits().mMaxHeaderBytes, aOwner.Limits().mMaxBodyBytes)
+  , mRequestCharge(std::move(aCharge))
+  , mReplyCharge(aOwner.Memory(), MemoryUse::kAnswer)
   , mSince(std::chrono::steady_clock::now())
 {
   connect(&mSocket, &QTcpSocket::readyRead, this, [this] { OnReadyRead(); });
+  connect(&mSocket, &QTcpSocket::bytesWritten, this, [this](qint64 aBytes) {
+    OnWritten(std::size_t(aBytes));
+  });
+  AllowEviction(true);
+  mReplyCharge.SetOnEvict([this] {
+    QMetaObject::invokeMethod(
+      this, [this] { mSocket.abort(); }, Qt::QueuedConnection);
+  });
+}
+
+void
+CallerGate::AllowEviction(bool aAllowed)
+{
+  if (!aAllowed) {
+    mRequestCharge.SetOnEvict(nullptr);
+    return;
+  }
+  // Another thread may need the room.
+  mRequestCharge.SetOnEvict([this] {
+    QMetaObject::invokeMethod(
+      this, [this] { OnEvicted(); }, Qt::QueuedConnection);
+  });
+}
+
+bool
+CallerGate::ChargeRequest()
+{
+  return mRequestCharge.Resize(
+    kConnectionBytes +
+    std::size_t(mScanner.TakenBytes() + kHeaderCopies * mScanner.HeaderBytes() +
+                kBodyCopies * mScanner.BodyBytes()));
+}
+
+void
+CallerGate::Write(const QByteArray& aBytes)
+{
+  const auto unsent = std::size_t(mSocket.bytesToWrite());
+  if (!mReplyCharge.Resize(unsent + std::size_t(aBytes.size()))) {
+    mSocket.abort();
+    return;
+  }
+  mSocket.write(aBytes);
+  // Without this, Qt writes in a later turn of the event loop.
+  mSocket.flush();
+}
+
+void
+CallerGate::OnWritten(std::size_t aBytes)
+{
+  mReplyCharge.AddProgress(aBytes);
+  if (!mIsReplying) {
+    mSince = std::chrono::steady_clock::now();
+  }
+  // A smaller charge always has room.
+  static_cast<void>(mReplyCharge.Resize(
+    std::min(mReplyCharge.Bytes(), std::size_t(mSocket.bytesToWrite()))));
+}
+
+void
+CallerGate::OnEvicted()
+{
+  if (mIsReplying) {
+    return;
+  }
+  if (std::exchange(mIsClosing, true)) {
+    mSocket.abort();
+    return;
+  }
+  if (mScanner.HasStarted()) {
+    const auto verdict = NoMemory();
+    mOwner.mOnRefused(verdict);
+    mSocket.write(RefusalReply(verdict, { { "Connection", "close" } }));
+    Detach();
+    mScanner.Reset();
+  }
+  mSocket.disconnectFromHost();
 }
 
 CallerGate::~CallerGate()
@@ -171,6 +283,14 @@
   const bool waited = mScanner.WantsContinue();
   const auto state =
     mScanner.Feed({ bytes.constData(), std::size_t(bytes.size()) });
+  mRequestCharge.AddProgress(std::size_t(bytes.size()));
+  const bool isTaken = state == RequestScanner::State::kHeader ||
+                       state == RequestScanner::State::kBody ||
+                       state == RequestScanner::State::kComplete;
+  if (isTaken && !ChargeRequest()) {
+    Refuse(NoMemory());
+    return;
+  }
   switch (state) {
     case RequestScanner::State::kHeader:
       return;
@@ -181,11 +301,12 @@
       return;
     case RequestScanner::State::kComplete:
       mIsReplying = true;
+      AllowEviction(false);
       return;
     case RequestScanner::State::kHeaderTooLarge:
       Refuse(Refusal(431,
                      "header_too_large",
-                     "The header exceeds " +
+                     "The header, a chunk's line or the trailer exceeds " +
                        std::to_string(mOwner.Limits().mMaxHeaderBytes) +
                        " bytes."));
       return;
@@ -216,6 +337,8 @@
   mSocket.write(RefusalReply(aVerdict, { { "Connection", "close" } }));
   mIsClosing = true;
   Detach();
+  mScanner.Reset();
+  // The parser holds what it has read until the connection ends.
   LingerAfterReply(mSocket);
 }
 
@@ -240,15 +363,26 @@
     return;
   }
   mScanner.Reset();
+  // A smaller charge always has room.
+  static_cast<void>(ChargeRequest());
+  AllowEviction(true);
 }
 
 void
 CallerGate::CheckAge(std::chrono::steady_clock::time_point aNow)
 {
-  if (mIsReplying || mIsClosing) {
+  if (mIsReplying) {
     return;
   }
   const auto age = aNow - mSince;
+  if (mSocket.bytesToWrite() > 0 && age > mOwner.Limits().mIdle) {
+    // The caller does not read the end of its reply.
+    mSocket.abort();
+    return;
+  }
+  if (mIsClosing) {
+    return;
+  }
   if (mScanner.HasStarted()) {
     if (age > mOwner.Limits().mRequest) {
       Refuse(Refusal(408, "request_timeout", "The request did not arrive."));
@@ -260,10 +394,15 @@
 }
 
 CallerConnections::CallerConnections(ConnectionLimits aLimits,
+                                     MemoryAccount& aMemory,
                                      OnRefused aOnRefused)
   : mLimits(aLimits)
+  , mMemory(aMemory)
   , mOnRefused(std::move(aOnRefused))
 {
+  mMemory.FitOne(MemoryUse::kRequest,
+                 (1 + kHeaderCopies) * mLimits.mMaxHeaderBytes +
+                   (kMaxWireBytes + kBodyCopies) * mLimits.mMaxBodyBytes);
   connect(&mAgeTimer, &QTimer::timeout, this, [this] {
     const auto now = std::chrono::steady_clock::now();
     std::vector<CallerGate*> gates;
@@ -281,9 +420,13 @@
 bool
 CallerConnections::Admit(QTcpSocket& aSocket)
 {
-  if (mGates.size() < mLimits.mMaxConnections) {
+  // One that is closed here frees its descriptor a little later.
+  MemoryCharge charge(mMemory, MemoryUse::kRequest);
+  if ((mGates.size() < mLimits.mMaxConnections ||
+       mMemory.EvictOne(MemoryUse::kRequest)) &&
+      charge.Resize(kConnectionBytes)) {
     aSocket.setSocketOption(QAbstractSocket::LowDelayOption, 1);
-    mGates.emplace(&aSocket, new CallerGate(aSocket, *this));
+    mGates.emplace(&aSocket, new CallerGate(aSocket, *this, std::move(charge)));
     return true;
   }
   Verdict verdict = Refusal(kStatusUnavailable,
@@ -293,7 +436,9 @@
   mOnRefused(verdict);
   aSocket.write(RefusalReply(verdict, { { "Connection", "close" } }));
   connect(&aSocket, &QTcpSocket::disconnected, &aSocket, &QObject::deleteLater);
-  if (mLingering >= kMaxLingering) {
+  if (mLingering >= std::clamp(mLimits.mMaxConnections / kLingeringDivisor,
+                               std::size_t(1),
+                               kMaxLingering)) {
     aSocket.disconnectFromHost();
     return false;
   }
@@ -317,6 +462,11 @@
 OpenReusablePort(const Endpoint& aEndpoint)
 {
   const int fd = OpenBound(aEndpoint, true);
+  // The accepted sockets inherit it.
+  if (fd >= 0) {
+    setsockopt(
+      fd, SOL_SOCKET, SO_RCVBUF, &kReceiveBytes, sizeof(kReceiveBytes));
+  }
   if (fd >= 0 && listen(fd, kBacklog) != 0) {
     const int error = errno;
     close(fd);
--- a/Source/Filters/CallerServer.h
+++ b/Source/Filters/CallerServer.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "Core/MemoryCharge.h"
 #include "Core/Result.h"
 #include "Core/Settings.h"
 #include "Core/Verdict.h"
@@ -38,11 +39,17 @@
 class CallerGate : public QObject
 {
 public:
-  CallerGate(QTcpSocket& aSocket, CallerConnections& aOwner);
+  /// aCharge is for the connection and what it holds of requests.
+  CallerGate(QTcpSocket& aSocket,
+             CallerConnections& aOwner,
+             MemoryCharge aCharge);
   ~CallerGate() override;
 
   /// Call when the reply to the current request is complete.
   void OnReplied(bool aClose);
+  /// Writes a part of a reply. Without memory for what the caller has not read,
+  /// the connection is cut off.
+  void Write(const QByteArray& aBytes);
   bool IsHttp10() const { return mScanner.IsHttp10(); }
   bool ClosesAfterReply() const;
   /// Closes the connection when it has been idle or incomplete for too long.
@@ -50,6 +57,14 @@
 
 private:
   void OnReadyRead();
+  /// Whether the connection may be closed to make room for others.
+  void AllowEviction(bool aAllowed);
+  /// Charges what this connection holds of a request; false when there is no
+  /// room.
+  bool ChargeRequest();
+  void OnWritten(std::size_t aBytes);
+  /// The memory or the descriptor of this connection is needed for others.
+  void OnEvicted();
   void Refuse(const Verdict& aVerdict);
   /// Keeps QHttpServer from reading any more of this connection.
   void Detach();
@@ -57,6 +72,9 @@
   QTcpSocket& mSocket;
   CallerConnections& mOwner;
   RequestScanner mScanner;
+  MemoryCharge mRequestCharge;
+  /// For what the caller has not read of a reply.
+  MemoryCharge mReplyCharge;
   bool mIsReplying = false;
   bool mIsClosing = false;
   bool mSawPipelined = false;
@@ -69,7 +87,9 @@
 public:
   using OnRefused = std::function<void(const Verdict&)>;
 
-  CallerConnections(ConnectionLimits aLimits, OnRefused aOnRefused);
+  CallerConnections(ConnectionLimits aLimits,
+                    MemoryAccount& aMemory,
+                    OnRefused aOnRefused);
 
   /// The QHttpServer that reads the connections.
   void SetHttpServer(QObject& aServer) { mHttpServer = &aServer; }
@@ -80,11 +100,13 @@
   /// nullptr for an unknown socket.
   CallerGate* Find(const QTcpSocket* aSocket);
   const ConnectionLimits& Limits() const { return mLimits; }
+  MemoryAccount& Memory() { return mMemory; }
   std::size_t Count() const { return mGates.size(); }
 
 private:
   friend class CallerGate;
   ConnectionLimits mLimits;
+  MemoryAccount& mMemory;
   OnRefused mOnRefused;
   QObject* mHttpServer = nullptr;
   std::unordered_map<const QTcpSocket*, CallerGate*> mGates;
--- a/Source/Filters/RequestEnvironment.h
+++ b/Source/Filters/RequestEnvironment.h
@@ -1,6 +1,8 @@
 #pragma once
 
+#include "Core/BootClock.h"
 #include "Core/KeyRing.h"
+#include "Core/MemoryAccount.h"
 #include "Core/QtScheduler.h"
 #include "Events/EventRecorder.h"
 #include "Filters/ActionHook.h"
@@ -35,6 +37,7 @@
                std::unique_ptr<Dispatcher> aDispatcher,
                ActionHook aActionHook)
     : mSettings(std::move(aSettings))
+    , mMemory(mBootClock, mSettings.mMemoryBytes)
     , mKeys(std::move(aKeys))
     , mView(mSettings.mBootstrapView ? mSettings.mBootstrapView
                                      : std::make_shared<const SiteView>())
@@ -50,6 +53,9 @@
   }
 
   const RouterSettings mSettings;
+  const BootClock mBootClock;
+  /// All bytes from outside that this process holds.
+  MemoryAccount mMemory;
   const KeyRing mKeys;
   SiteViewHolder mView;
   DispatcherHub mHub;
--- a/Source/Filters/RequestScanner.cxx
+++ b/Source/Filters/RequestScanner.cxx
@@ -8,8 +8,6 @@
 
 namespace {
 
-constexpr std::size_t kMaxChunkLineBytes = 256;
-constexpr int kHexBase = 16;
 constexpr int kDecimalBase = 10;
 constexpr std::string_view kTokenMarks = "!#$%&'*+-.^_`|~";
 
@@ -68,12 +66,15 @@
 void
 RequestScanner::Reset()
 {
+  // An assignment would keep the capacity.
+  std::string().swap(mLine);
   *this = RequestScanner(mMaxHeaderBytes, mMaxBodyBytes);
 }
 
 RequestScanner::State
 RequestScanner::Feed(std::string_view aBytes)
 {
+  mTakenBytes += aBytes.size();
   std::size_t at = 0;
   while (at < aBytes.size()) {
     switch (mState) {
@@ -184,6 +185,7 @@
 {
   const auto n = std::min<std::uint64_t>(aBytes.size(), mLeft);
   mLeft -= n;
+  mBodyBytes += n;
   if (mLeft == 0) {
     mState = State::kComplete;
   }
@@ -193,55 +195,26 @@
 std::size_t
 RequestScanner::AcceptChunked(std::string_view aBytes)
 {
-  if (mChunk == Chunk::kData) {
-    const auto n = std::min<std::uint64_t>(aBytes.size(), mLeft);
-    mLeft -= n;
-    if (mLeft == 0) {
-      mChunk = Chunk::kDataEnd;
-    }
-    return std::size_t(n);
-  }
-  const char byte = aBytes.front();
-  if (byte != '\n') {
-    mLine += byte;
-    if (mLine.size() > kMaxChunkLineBytes) {
+  const auto step = mChunks.Next(aBytes);
+  mBodyBytes += step.mData.size();
+  switch (mChunks.Current()) {
+    case ChunkDecoder::State::kReading:
+      if (mChunks.Left() > mMaxBodyBytes ||
+          mBodyBytes + mChunks.Left() > mMaxBodyBytes) {
+        mState = State::kBodyTooLarge;
+      }
+      break;
+    case ChunkDecoder::State::kDone:
+      mState = State::kComplete;
+      break;
+    case ChunkDecoder::State::kTooLong:
+      mState = State::kHeaderTooLarge;
+      break;
+    case ChunkDecoder::State::kMalformed:
       mState = State::kMalformed;
-    }
-    return 1;
-  }
-  if (!mLine.empty() && mLine.back() == '\r') {
-    mLine.pop_back();
-  }
-  AcceptChunkLine();
-  mLine.clear();
-  return 1;
-}
-
-void
-RequestScanner::AcceptChunkLine()
-{
-  switch (mChunk) {
-    case Chunk::kDataEnd:
-      mState = mLine.empty() ? mState : State::kMalformed;
-      mChunk = Chunk::kSize;
-      return;
-    case Chunk::kTrailer:
-      mState = mLine.empty() ? State::kComplete : mState;
-      return;
-    default:
       break;
   }
-  const auto size = Trim(std::string_view(mLine).substr(0, mLine.find(';')));
-  if (!ParseNumber(size, kHexBase, mLeft)) {
-    mState = State::kMalformed;
-    return;
-  }
-  if (mLeft > mMaxBodyBytes || mBodyBytes + mLeft > mMaxBodyBytes) {
-    mState = State::kBodyTooLarge;
-    return;
-  }
-  mBodyBytes += mLeft;
-  mChunk = mLeft == 0 ? Chunk::kTrailer : Chunk::kData;
+  return step.mTaken;
 }
 
 } // namespace ragwortdeck
--- a/Source/Filters/RequestScanner.h
+++ b/Source/Filters/RequestScanner.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "Core/ChunkDecoder.h"
+
 #include <cstddef>
 #include <cstdint>
 #include <string>
@@ -28,6 +30,7 @@
   RequestScanner(std::size_t aMaxHeaderBytes, std::size_t aMaxBodyBytes)
     : mMaxHeaderBytes(aMaxHeaderBytes)
     , mMaxBodyBytes(aMaxBodyBytes)
+    , mChunks(aMaxHeaderBytes)
   {
   }
 
@@ -43,23 +46,19 @@
   /// The caller waits for "100 Continue" before it sends the body.
   bool WantsContinue() const { return mWantsContinue; }
   bool IsHttp10() const { return mIsHttp10; }
+  /// Bytes of the request that were taken, and those of them that are its head
+  /// and its body.
+  std::uint64_t TakenBytes() const { return mTakenBytes; }
+  std::uint64_t HeaderBytes() const { return mHeaderBytes; }
+  std::uint64_t BodyBytes() const { return mBodyBytes; }
 
 private:
-  enum class Chunk : std::uint8_t
-  {
-    kSize,
-    kData,
-    kDataEnd,
-    kTrailer,
-  };
-
   void AcceptHeaderByte(char aByte);
   void AcceptLine();
   void AcceptField(std::string_view aName, std::string_view aValue);
   void EndHeader();
   std::size_t AcceptBody(std::string_view aBytes);
   std::size_t AcceptChunked(std::string_view aBytes);
-  void AcceptChunkLine();
 
   std::size_t mMaxHeaderBytes;
   std::size_t mMaxBodyBytes;
@@ -74,7 +73,8 @@
   bool mIsHttp10 = false;
   std::uint64_t mLeft = 0;
   std::uint64_t mBodyBytes = 0;
-  Chunk mChunk = Chunk::kSize;
+  std::uint64_t mTakenBytes = 0;
+  ChunkDecoder mChunks;
 };
 
 } // namespace ragwortdeck
--- a/Source/Filters/RouterSettings.h
+++ b/Source/Filters/RouterSettings.h
@@ -45,6 +45,8 @@
   FailureDomain mFailureDomain;
   Endpoint mListen;
   std::uint32_t mThreads = 2;
+  /// Memory that this process may use.
+  std::size_t mMemoryBytes = std::size_t(96) << 20U;
   std::vector<SharedKey> mKeys;
   ConnectionLimits mConnections;
   CallerBufferLimits mBuffers;
--- a/Source/Filters/RouterThread.cxx
+++ b/Source/Filters/RouterThread.cxx
@@ -41,6 +41,7 @@
                RandomSource(RandomSource::SystemSeed()),
                aThread.MakeCancelSend(mCurl))
     , mConnections(aThread.mShared.mSettings.mConnections,
+                   aThread.mShared.mMemory,
                    [&aThread](const Verdict& aVerdict) {
                      aThread.mMetrics.OnEnded(aVerdict.mCode);
                    })
--- a/Source/Filters/ServiceCaller.cxx
+++ b/Source/Filters/ServiceCaller.cxx
@@ -66,7 +66,9 @@
 void
 ServiceCaller::Collect(std::string_view aBytes, InFlight& aCall)
 {
-  if (aCall.mReply.size() + aBytes.size() > kMaxReplyBytes) {
+  aCall.mCharge.AddProgress(aBytes.size());
+  if (aCall.mReply.size() + aBytes.size() > kMaxReplyBytes ||
+      !aCall.mCharge.Grow(aBytes.size())) {
     aCall.mIsTooLarge = true;
     return;
   }
@@ -124,6 +126,8 @@
   mTried.push_back(target->mId);
   ++mAttempts;
   const auto call = mCalls.emplace(mCalls.end());
+  call->mCharge =
+    MemoryCharge(mEnvironment.mShared.mMemory, MemoryUse::kAnswer);
   // The transfer keeps this object until it ends.
   call->mTransfer = mEnvironment.mCurl.Start(
     MakeCall(*target),
--- a/Source/Filters/ServiceCaller.h
+++ b/Source/Filters/ServiceCaller.h
@@ -28,6 +28,7 @@
   struct InFlight
   {
     std::string mReply;
+    MemoryCharge mCharge;
     /// The reply exceeded the limit, so it is not whole.
     bool mIsTooLarge = false;
     std::unique_ptr<CurlTransfer> mTransfer;
--- a/Source/Programs/Router.cxx
+++ b/Source/Programs/Router.cxx
@@ -9,6 +9,7 @@
 
 #include <QCoreApplication>
 #include <csignal>
+#include <malloc.h>
 #include <memory>
 #include <optional>
 
@@ -99,6 +100,10 @@
 main(int argc, char** argv)
 {
   StopSignals::Block();
+  // What bodies took goes back to the system, from the arenas of all threads.
+  constexpr int kTrimBytes = 128 * 1024;
+  mallopt(M_TRIM_THRESHOLD, kTrimBytes);
+  mallopt(M_MMAP_THRESHOLD, kTrimBytes);
   ProgramSpec spec;
   spec.mName = "ragwort-router";
   spec.mDescription = "Serves callers' requests on an entry host";
--- a/Tests/Filters/CallerConnectionsTest.cxx
+++ b/Tests/Filters/CallerConnectionsTest.cxx
@@ -49,6 +49,13 @@
     CPPUNIT_ASSERT_EQUAL(ssize_t(1), recv(mSocket, &c, 1, MSG_PEEK));
   }
 
+  /// Whether something has arrived.
+  bool HasBytes() const
+  {
+    char c = 0;
+    return recv(mSocket, &c, 1, MSG_PEEK | MSG_DONTWAIT) == 1;
+  }
+
   /// What arrives until the router closes; nothing after a reset.
   std::optional<std::string> ReadAll() const
   {
@@ -74,6 +81,7 @@
 {
   CPPUNIT_TEST_SUITE(CallerConnectionsTest);
   CPPUNIT_TEST(TestRefusedWhileSending);
+  CPPUNIT_TEST(TestIdleGivesWay);
   CPPUNIT_TEST(TestRequestInsideAnother);
   CPPUNIT_TEST_SUITE_END();
 
@@ -89,8 +97,19 @@
     auto settings = site.Settings();
     settings.mThreads = 1;
     settings.mConnections.mMaxConnections = 1;
+    // The engine runs on this thread, which waits in between.
+    settings.mLimits.mRelay.mStall = 60s;
     const auto router = site.MakeRouter(settings);
+    // A connection that is idle would give way to the second one.
     const BlockingCaller first(*router);
+    const std::string body = R"({"model":"drafts","input":"x","stream":true,)"
+                             R"("max_output_tokens":4000})";
+    CPPUNIT_ASSERT(first.Send(
+      "POST /v1/responses HTTP/1.1\r\nHost: a\r\nAuthorization: "
+      "Bearer " +
+      TokenOf("nakuru") + "\r\nContent-Length: " + std::to_string(body.size()) +
+      "\r\n\r\n" + body));
+    RunEventLoopUntil([&] { return first.HasBytes(); });
     const BlockingCaller second(*router);
     Section("the caller may send its whole request", [&] {
       CPPUNIT_ASSERT(second.Send("POST /v1/responses HTTP/1.1\r\n"
@@ -111,6 +130,27 @@
     });
   }
 
+  /// Guards against callers that keep out all others by connections on which
+  /// they send nothing.
+  void TestIdleGivesWay()
+  {
+    RouterSite site;
+    auto settings = site.Settings();
+    settings.mThreads = 1;
+    settings.mConnections.mMaxConnections = 2;
+    const auto router = site.MakeRouter(settings);
+    const std::string ask = "GET /healthz HTTP/1.1\r\nHost: a\r\n"
+                            "Connection: close\r\n\r\n";
+    const BlockingCaller stalled(*router);
+    CPPUNIT_ASSERT(stalled.Send("GET /healthz HTTP/1.1\r\nHost: a\r\n"));
+    const BlockingCaller idle(*router);
+    for (int i = 0; i < 3; ++i) {
+      const BlockingCaller caller(*router);
+      CPPUNIT_ASSERT(caller.Send(ask));
+      CPPUNIT_ASSERT(caller.ReadAll().value_or("").starts_with("HTTP/1.1 200"));
+    }
+  }
+
   /// Guards against a body that is served as another request, because the
   /// router's two parsers read a framing header differently.
   void TestRequestInsideAnother()
