Filters: Limit the replies and events of engines that do not end

What callers saw: an engine that does not end its reply to a read or a cancel of an answer ends the router for its memory, and one that begins long events on many streams comes close to it.

Cause: the reply that RequestPath forwards had no limit at all; each stream may hold an event of 4 MiB, and nothing counted them together.

Change: ReplyBuffer has the limit and the charge of a target's reply, for look-ups and for reads and cancels of answers; what does not fit is answered 502, as before for services. An incomplete event is charged to the router's account, and its stream is dropped when there is no room.

--- a/Source/Filters/RelaySession.cxx
+++ b/Source/Filters/RelaySession.cxx
@@ -195,6 +195,7 @@
     return;
   }
   EngineRequest request;
+  request.mMemory = &mEnvironment.mShared.mMemory;
   request.mAddress = found->second.mAddress;
   request.mConnectTimeout = mEnvironment.mShared.mSettings.mLimits.mConnect;
   if (aIsNew) {
--- a/Source/Filters/RequestPath.cxx
+++ b/Source/Filters/RequestPath.cxx
@@ -2,6 +2,7 @@
 
 #include "Core/HttpStatus.h"
 #include "Core/Log.h"
+#include "Filters/ReplyBuffer.h"
 #include "Filters/ResponseId.h"
 #include "Filters/ServiceCaller.h"
 
@@ -305,20 +306,23 @@
   const auto callerId =
     EncodeResponseId({ attempt, aContext.mTeam }, mEnvironment.mShared.mKeys);
   const auto exchange = aContext.mExchange;
-  const auto reply = std::make_shared<std::string>();
+  const auto reply =
+    std::make_shared<ReplyBuffer>(mEnvironment.mShared.mMemory);
   // Owns the transfer until its end.
   const auto transfer = std::make_shared<std::unique_ptr<CurlTransfer>>();
   *transfer = mEnvironment.mCurl.Start(
     call,
-    [reply](std::string_view aBytes) { *reply += aBytes; },
+    [reply](std::string_view aBytes) { reply->Append(aBytes); },
     [this, exchange, reply, transfer, callerId, aIsCancel](
       const TransferEnd& aEnd) {
       const auto keep = std::move(*transfer);
-      const bool replied = aEnd.mKind == TransferEndKind::kReplied;
+      const bool replied =
+        aEnd.mKind == TransferEndKind::kReplied && !reply->IsTooLarge();
       if (replied && aEnd.mStatus == kStatusOk) {
         mEnvironment.mMetrics.OnEnded("completed");
-        exchange->Reply(
-          kStatusOk, "application/json", WithCallerId(*reply, callerId));
+        exchange->Reply(kStatusOk,
+                        "application/json",
+                        WithCallerId(reply->Bytes(), callerId));
         return;
       }
       if (replied && aEnd.mStatus == kStatusNotFound) {
--- a/Source/Filters/ServiceCaller.cxx
+++ b/Source/Filters/ServiceCaller.cxx
@@ -11,7 +11,6 @@
 namespace {
 
 constexpr std::chrono::milliseconds kRetryAfter{ 500 };
-constexpr std::size_t kMaxReplyBytes = 8 << 20;
 
 /// A look-up is repeated after these, because another target may answer.
 bool
@@ -39,8 +38,8 @@
   return { RunState::kRan,
            kStatusBadGateway,
            "reply_too_large",
-           "The service's reply exceeds " + std::to_string(kMaxReplyBytes) +
-             " bytes.",
+           "The service's reply exceeds " +
+             std::to_string(ReplyBuffer::kMaxBytes) + " bytes.",
            std::chrono::milliseconds(0) };
 }
 
@@ -63,18 +62,6 @@
 {
 }
 
-void
-ServiceCaller::Collect(std::string_view aBytes, InFlight& aCall)
-{
-  aCall.mCharge.AddProgress(aBytes.size());
-  if (aCall.mReply.size() + aBytes.size() > kMaxReplyBytes ||
-      !aCall.mCharge.Grow(aBytes.size())) {
-    aCall.mIsTooLarge = true;
-    return;
-  }
-  aCall.mReply += aBytes;
-}
-
 HttpCall
 ServiceCaller::MakeCall(const Target& aTarget) const
 {
@@ -125,13 +112,11 @@
   }
   mTried.push_back(target->mId);
   ++mAttempts;
-  const auto call = mCalls.emplace(mCalls.end());
-  call->mCharge =
-    MemoryCharge(mEnvironment.mShared.mMemory, MemoryUse::kAnswer);
+  const auto call = mCalls.emplace(mCalls.end(), mEnvironment.mShared.mMemory);
   // The transfer keeps this object until it ends.
   call->mTransfer = mEnvironment.mCurl.Start(
     MakeCall(*target),
-    [call](std::string_view aBytes) { Collect(aBytes, *call); },
+    [call](std::string_view aBytes) { call->mReply.Append(aBytes); },
     [self = shared_from_this(), call](const TransferEnd& aEnd) {
       self->OnLookUpEnd(call, aEnd);
     });
@@ -162,7 +147,7 @@
   if (mIsDone) {
     return;
   }
-  if (aCall->mIsTooLarge) {
+  if (aCall->mReply.IsTooLarge()) {
     Refuse(TooLarge());
     return;
   }
@@ -175,7 +160,7 @@
     Record(EventType::kRequestFinished, "completed");
     mContext.mExchange->Reply(aEnd.mStatus,
                               "application/json",
-                              reply,
+                              reply.Bytes(),
                               { { "X-Ragwort-Verdict", ToText(RunState::kRan) },
                                 { "X-Request-Id", mContext.mId.Value() } });
     return;
--- a/Source/Filters/ServiceCaller.h
+++ b/Source/Filters/ServiceCaller.h
@@ -2,6 +2,7 @@
 
 #include "Core/RandomSource.h"
 #include "Filters/ActionHook.h"
+#include "Filters/ReplyBuffer.h"
 #include "Filters/RequestContext.h"
 #include "Filters/RequestEnvironment.h"
 
@@ -27,14 +28,14 @@
   /// One call in flight; its handle abandons it when destroyed.
   struct InFlight
   {
-    std::string mReply;
-    MemoryCharge mCharge;
-    /// The reply exceeded the limit, so it is not whole.
-    bool mIsTooLarge = false;
+    explicit InFlight(MemoryAccount& aMemory)
+      : mReply(aMemory)
+    {
+    }
+    ReplyBuffer mReply;
     std::unique_ptr<CurlTransfer> mTransfer;
   };
 
-  static void Collect(std::string_view aBytes, InFlight& aCall);
   HttpCall MakeCall(const Target& aTarget) const;
   bool TryLookUp();
   void OnLookUpEnd(std::list<InFlight>::iterator aCall,
--- a/Source/Targets/EngineStream.cxx
+++ b/Source/Targets/EngineStream.cxx
@@ -60,9 +60,10 @@
   return "http://" + aAddress + "/v1/responses/" + id;
 }
 
-EngineStream::EngineStream(OnEvent aOnEvent, OnEnd aOnEnd)
+EngineStream::EngineStream(OnEvent aOnEvent, OnEnd aOnEnd, MemoryCharge aCharge)
   : mOnEvent(std::move(aOnEvent))
   , mOnEnd(std::move(aOnEnd))
+  , mCharge(std::move(aCharge))
 {
 }
 
@@ -72,8 +73,11 @@
                    OnEvent aOnEvent,
                    OnEnd aOnEnd)
 {
-  std::shared_ptr<EngineStream> stream(
-    new EngineStream(std::move(aOnEvent), std::move(aOnEnd)));
+  std::shared_ptr<EngineStream> stream(new EngineStream(
+    std::move(aOnEvent),
+    std::move(aOnEnd),
+    aRequest.mMemory ? MemoryCharge(*aRequest.mMemory, MemoryUse::kEvent)
+                     : MemoryCharge()));
   auto* self = stream.get();
   stream->mTransfer = aMulti.Start(
     ToCall(aRequest),
@@ -137,6 +141,10 @@
     Report({ StreamEndKind::kDropped,
              kStatusOk,
              fits ? "unreadable event" : "event over the size limit" });
+  } else if (!mCharge.Resize(mParser.HeldBytes())) {
+    Report({ StreamEndKind::kDropped,
+             kStatusOk,
+             "incomplete events fill the memory" });
   }
 }
 
--- a/Source/Targets/EngineStream.h
+++ b/Source/Targets/EngineStream.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "Core/MemoryCharge.h"
 #include "Targets/CurlMulti.h"
 #include "Targets/EngineEvent.h"
 
@@ -51,6 +52,8 @@
   std::chrono::milliseconds mConnectTimeout{ 1000 };
   /// Further headers, each "Name: value".
   std::vector<std::string> mHeaders;
+  /// The account that incomplete events are charged to; null for none.
+  MemoryAccount* mMemory = nullptr;
 };
 
 /// URL of a response on an engine.
@@ -83,7 +86,7 @@
   }
 
 private:
-  EngineStream(OnEvent aOnEvent, OnEnd aOnEnd);
+  EngineStream(OnEvent aOnEvent, OnEnd aOnEnd, MemoryCharge aCharge);
   void Accept(std::string_view aBytes);
   void Finish(const TransferEnd& aEnd);
   void Report(const StreamEnd& aEnd);
@@ -92,6 +95,7 @@
   OnEnd mOnEnd;
   std::function<void()> mOnBatch;
   SseParser mParser;
+  MemoryCharge mCharge;
   /// Start of the body of a rejection.
   std::string mRejection;
   bool mIsStream = false;
--- a/Source/Targets/SseParser.h
+++ b/Source/Targets/SseParser.h
@@ -36,6 +36,11 @@
   /// Parses aBytes and hands each complete event to aSink. Returns false when
   /// an event exceeds the limit; the stream is then unusable.
   bool Feed(std::string_view aBytes, const Sink& aSink);
+  /// Bytes of memory that an incomplete event takes.
+  std::size_t HeldBytes() const
+  {
+    return mPartial.capacity() + mEvent.mData.capacity();
+  }
 
   static constexpr std::size_t kDefaultMaxEventBytes = 4 << 20;
 
--- a/Tests/ClientLimits/router_site.py
+++ b/Tests/ClientLimits/router_site.py
@@ -1,12 +1,18 @@
-"""One router process with a stand-in of a service."""
+"""One router process with stand-ins of a service and of an engine."""
 
 import asyncio
+import base64
+import hashlib
+import hmac
+import json
 import subprocess
 
 import wire
 from process import MB, Process
 
-KEYS = "keys:\n- {id: k1, secret: a-secret-of-16-bytes-or-more}\n"
+KEY_ID = "k1"
+SECRET = "a-secret-of-16-bytes-or-more"
+KEYS = f"keys:\n- {{id: {KEY_ID}, secret: {SECRET}}}\n"
 TEAM = "bakers"
 # Of the machine that the router is told it runs on.
 MEMORY_MB = 128
@@ -15,6 +21,8 @@
 # So long that no test depends on them.
 TIMEOUT_MS = 120000
 LARGE_ANSWER = 6 * MB
+# Of an answer that an engine does not end.
+ENDLESS_ANSWER = 16 * MB
 PROGRAM = "ragwort-router"
 CTL = "ragwort-ctl"
 
@@ -38,10 +46,25 @@
   - {{kind: level, class: short, repeat: idempotent}}
   targets:
   - {{id: stock-1, role: service, address: "{address}:9301", models: [stock]}}
+  - {{id: engine-1, role: engine, address: "{address}:9302", models: [drafts]}}
+  models:
+  - {{model: drafts}}
   entry_hosts: [limits]
 """
 
 
+def response_id(engine_id):
+    """The id of an answer of engine-1, as the router issues it."""
+
+    def text(value):
+        return bytes([0xA0 + len(value)]) + value.encode()
+
+    fields = text("engine-1") + text(engine_id) + b"\x01" + text(TEAM) + text(KEY_ID)
+    body = b"\x95" + fields
+    mac = hmac.new(SECRET.encode(), b"response\0" + body, hashlib.sha256).digest()
+    return "resp_" + base64.urlsafe_b64encode(body + mac).decode().rstrip("=")
+
+
 class RouterSite:
 
     def __init__(self, folder, programs, net, descriptors):
@@ -94,8 +117,26 @@
             pass  # The router closed the connection, or the test ends.
         wire.close(writer)
 
+    async def serve_engine(self, reader, writer):
+        """Begins an event, or a reply, and goes on with it."""
+        try:
+            first, headers = await wire.read_head(reader)
+            await wire.read_body(reader, headers)
+            kind = "text/event-stream" if "POST" in first else "application/json"
+            writer.write(
+                f"HTTP/1.1 200 OK\r\nContent-Type: {kind}\r\n\r\ndata: ".encode()
+            )
+            for _ in range(ENDLESS_ANSWER // 65536):
+                writer.write(b"e" * 65536)
+                await wire.drain(writer)
+            await asyncio.sleep(TIMEOUT_MS / 1000)
+        except (wire.Broken, asyncio.CancelledError):
+            pass  # The router closed the connection, or the test ends.
+        wire.close(writer)
+
     async def start(self):
         self.token = self.issue_token()
+        await asyncio.start_server(self.serve_engine, self.address, 9302)
         await asyncio.start_server(self.serve, self.address, 9301)
         self.process = Process(
             [self.program, "--config", str(self.write_settings())],
@@ -124,6 +165,20 @@
     def large_request(self, _):
         return self.head("large")("X-None: 1")
 
+    def stream_request(self, _):
+        body = json.dumps({"model": "drafts", "input": "x", "stream": True})
+        return (
+            f"POST /v1/responses HTTP/1.1\r\nHost: limits\r\n"
+            f"Authorization: Bearer {self.token}\r\n"
+            f"Content-Length: {len(body)}\r\n\r\n{body}"
+        ).encode()
+
+    def state_request(self, number):
+        return (
+            f"GET /v1/responses/{response_id(f'e{number}')} HTTP/1.1\r\n"
+            f"Host: limits\r\nAuthorization: Bearer {self.token}\r\n\r\n"
+        ).encode()
+
     async def ask(self, request):
         """Sends a request; returns the status, or why there is none."""
         try:
--- a/Tests/ClientLimits/run.py
+++ b/Tests/ClientLimits/run.py
@@ -10,7 +10,6 @@
 import argparse
 import asyncio
 import collections
-import itertools
 import pathlib
 import sys
 import tempfile
@@ -131,6 +130,24 @@
     )
 
 
+async def endless_events(site):
+    """Clients of an engine that does not end the first event of its streams."""
+    return await ask_all(site, BODIES, site.stream_request)
+
+
+async def endless_replies(site):
+    """Clients of an engine that does not end its replies."""
+    return await ask_all(site, BODIES, site.state_request)
+
+
+async def ask_all(site, count, make_request):
+    clients = [crowd.Client(site.address, site.port, False) for _ in range(count)]
+    await asyncio.gather(
+        *(it.send([make_request(n)], b"") for n, it in enumerate(clients))
+    )
+    return clients
+
+
 CROWDS = {
     "WholeBodies": whole_bodies,
     "BodiesInPieces": bodies_in_pieces,
@@ -146,6 +163,13 @@
 }
 
 
+# What targets of the router send; tests of the entry process are in Tests/Entry.
+ROUTER_CROWDS = {
+    "EndlessEvents": endless_events,
+    "EndlessReplies": endless_replies,
+}
+
+
 async def judge_crowd(site, make_crowd):
     clients = await make_crowd(site)
     await site.process.settle()
@@ -208,7 +232,7 @@
             await site.start()
             if test.name == "Calm":
                 return await judge_calm(site), site
-            return await judge_crowd(site, CROWDS[test.name]), site
+            return await judge_crowd(site, (CROWDS | ROUTER_CROWDS)[test.name]), site
     except TimeoutError:
         return ["the test hangs"], site
     finally:
@@ -216,13 +240,11 @@
 
 
 def main():
+    chosen = [("Entry", ["Calm", *CROWDS])]
+    chosen.append(("Router", ["Calm", *CROWDS, *ROUTER_CROWDS]))
+    pairs = [(kind, name) for kind, group in chosen for name in group]
     # Each test has a network of its own.
-    tests = [
-        Test(kind, name, FIRST_NET + number)
-        for number, (kind, name) in enumerate(
-            itertools.product(SITES, ["Calm", *CROWDS])
-        )
-    ]
+    tests = [Test(*pair, FIRST_NET + n) for n, pair in enumerate(pairs)]
     names = {f"ClientLimits{it.kind}{it.name}": it for it in tests}
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("test", nargs="*", help="names of tests; all without them")
