--- a/Tests/ClientLimits/entry_site.py
+++ b/Tests/ClientLimits/entry_site.py
@@ -4,14 +4,14 @@
 import collections
 import json
 import pathlib
-import subprocess
 import sys
 
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parent.parent / "Soak"))
 import store
 import targets
 import wire
-from process import MB, Process
+from process import MB
+from program_site import ProgramSite
 
 HOST = "limits.example"
 KEY = "steady"
@@ -57,37 +57,25 @@
         return True
 
 
-class EntrySite:
+class EntrySite(ProgramSite):
     """Also stands for the world that the stand-ins of the soak know."""
 
 
     def __init__(self, folder, programs, net, descriptors):
-        self.program = str(programs / PROGRAM)
-        self.folder = folder
+        super().__init__(folder, programs / PROGRAM, MEMORY_MB, descriptors)
         self.net = f"127.{net}"
-        self.descriptors = descriptors
         self.store = store.Store()
         self.ledger = targets.Ledger()
-        self.findings = []
         self.targets = {}
         self.address = f"{self.net}.2.1"
         self.port = 9100
-        self.process = None
-        self.tasks = []
         self.counts = collections.Counter()
 
     def finding(self, text):
         self.findings.append(text)
 
-    def write_settings(self):
-        """Programs from before a setting was known are started without it."""
-        path = self.folder / "entry.yaml"
-        base = SETTINGS.format(net=self.net)
-        path.write_text(base + f"memory_mb: {MEMORY_MB}\n")
-        check = [self.program, "--config", str(path), "--check-config"]
-        if subprocess.run(check, capture_output=True).returncode:
-            path.write_text(base)
-        return path
+    def settings(self):
+        return SETTINGS.format(net=self.net)
 
     def put_table(self):
         kinds = {"safe": "safe", "unsafe": "unsafe", "large": "safe"}
@@ -134,12 +122,7 @@
             self.targets[target.id] = target
             self.tasks.append(asyncio.ensure_future(self.beat(target)))
         self.put_table()
-        self.process = Process(
-            [self.program, "--config", str(self.write_settings())],
-            self.folder / "entry.log",
-            self.descriptors,
-        )
-        self.tasks.append(asyncio.ensure_future(self.process.watch()))
+        self.start_process()
         await self.wait_ready()
 
     async def wait_ready(self):
@@ -171,29 +154,7 @@
     def large_request(self, number):
         return self.head("large", f"large-{number}")("X-None: 1")
 
-    async def ask(self, request):
-        """Sends a request; returns the status, or why there is none."""
-        try:
-            reader, writer = await asyncio.open_connection(self.address, self.port)
-            writer.write(request)
-            first, headers = await wire.read_head(reader)
-            body = await wire.read_body(reader, headers)
-            writer.close()
-            return int(first.split()[1]), body
-        except (OSError, wire.Broken) as ec:
-            return f"no answer: {ec!r}", b""
-
     async def ask_ordinary(self):
         status, body = await self.ask(self.head("safe", "ordinary")("X-None: 1"))
         expected = targets.plain_body("ordinary", "shop").encode()
         return status if status != 200 or body == expected else "another body"
-
-    async def ask_with(self, message):
-        status, _ = await self.ask(message.whole())
-        return status
-
-    def end(self):
-        for task in self.tasks:
-            task.cancel()
-        if self.process:
-            self.process.end()
--- a/Tests/ClientLimits/router_site.py
+++ b/Tests/ClientLimits/router_site.py
@@ -8,7 +8,8 @@
 import subprocess
 
 import wire
-from process import MB, Process
+from process import MB
+from program_site import ProgramSite
 
 KEY_ID = "k1"
 SECRET = "a-secret-of-16-bytes-or-more"
@@ -65,24 +66,17 @@
     return "resp_" + base64.urlsafe_b64encode(body + mac).decode().rstrip("=")
 
 
-class RouterSite:
+class RouterSite(ProgramSite):
 
     def __init__(self, folder, programs, net, descriptors):
-        self.program = str(programs / PROGRAM)
+        super().__init__(folder, programs / PROGRAM, MEMORY_MB, descriptors)
         self.ctl = str(programs / CTL)
-        self.folder = folder
-        self.descriptors = descriptors
         self.address = f"127.{net}.0.1"
         self.port = 9300
-        self.process = None
         self.token = None
-        self.findings = []
-        self.tasks = []
 
-    def write_settings(self):
-        """Programs from before a setting was known are started without it."""
-        path = self.folder / "router.yaml"
-        base = SETTINGS.format(
+    def settings(self):
+        return SETTINGS.format(
             address=self.address,
             port=self.port,
             keys=KEYS,
@@ -90,11 +84,6 @@
             max_header=MAX_HEADER,
             timeout=TIMEOUT_MS,
         )
-        path.write_text(base + f"memory_mb: {MEMORY_MB}\n")
-        check = [self.program, "--config", str(path), "--check-config"]
-        if subprocess.run(check, capture_output=True).returncode:
-            path.write_text(base)
-        return path
 
     def issue_token(self):
         path = self.folder / "ctl.yaml"
@@ -138,12 +127,7 @@
         self.token = self.issue_token()
         await asyncio.start_server(self.serve_engine, self.address, 9302)
         await asyncio.start_server(self.serve, self.address, 9301)
-        self.process = Process(
-            [self.program, "--config", str(self.write_settings())],
-            self.folder / "router.log",
-            self.descriptors,
-        )
-        self.tasks.append(asyncio.ensure_future(self.process.watch()))
+        self.start_process()
         while self.process.is_up():
             status, _ = await self.ask(b"GET /healthz HTTP/1.1\r\nHost: x\r\n\r\n")
             if status == 200:
@@ -179,28 +163,6 @@
             f"Host: limits\r\nAuthorization: Bearer {self.token}\r\n\r\n"
         ).encode()
 
-    async def ask(self, request):
-        """Sends a request; returns the status, or why there is none."""
-        try:
-            reader, writer = await asyncio.open_connection(self.address, self.port)
-            writer.write(request)
-            first, headers = await wire.read_head(reader)
-            body = await wire.read_body(reader, headers)
-            writer.close()
-            return int(first.split()[1]), body
-        except (OSError, wire.Broken) as ec:
-            return f"no answer: {ec!r}", b""
-
     async def ask_ordinary(self):
         status, body = await self.ask(self.head("level")("X-None: 1"))
         return status if status != 200 or body == b'{"left":3}' else "another body"
-
-    async def ask_with(self, message):
-        status, _ = await self.ask(message.whole())
-        return status
-
-    def end(self):
-        for task in self.tasks:
-            task.cancel()
-        if self.process:
-            self.process.end()
--- a/Tests/ClientLimits/run.py
+++ b/Tests/ClientLimits/run.py
@@ -38,7 +38,7 @@
 
 
 def memory_of(site):
-    return sys.modules[type(site).__module__].MEMORY_MB * MB
+    return site.memory_mb * MB
 
 
 def max_body_of(site):
