--- a/Source/Entry/RequestBody.cxx
+++ b/Source/Entry/RequestBody.cxx
@@ -24,7 +24,7 @@
 {
   const std::string_view bytes(static_cast<const char*>(aBytes.data()),
                                aBytes.size());
-  return mChunks ? TakeChunks(bytes) : TakeSized(bytes);
+  return mChunks ? TakeChunks(*mChunks, bytes) : TakeSized(bytes);
 }
 
 std::size_t
@@ -40,17 +40,17 @@
 }
 
 std::size_t
-RequestBody::TakeChunks(std::string_view aBytes)
+RequestBody::TakeChunks(ChunkDecoder& aChunks, std::string_view aBytes)
 {
   auto rest = aBytes;
   while (!rest.empty() && mState == State::kReading) {
-    const auto step = mChunks->Next(rest);
+    const auto step = aChunks.Next(rest);
     mBody.append(step.mData);
     rest.remove_prefix(step.mTaken);
-    switch (mChunks->Current()) {
+    switch (aChunks.Current()) {
       case ChunkDecoder::State::kReading:
-        if (mChunks->Left() > mMaxBytes ||
-            mBody.size() + mChunks->Left() > mMaxBytes) {
+        if (aChunks.Left() > mMaxBytes ||
+            mBody.size() + aChunks.Left() > mMaxBytes) {
           mState = State::kTooLarge;
         }
         break;
--- a/Source/Entry/RequestBody.h
+++ b/Source/Entry/RequestBody.h
@@ -36,7 +36,7 @@
 
 private:
   std::size_t TakeSized(std::string_view aBytes);
-  std::size_t TakeChunks(std::string_view aBytes);
+  std::size_t TakeChunks(ChunkDecoder& aChunks, std::string_view aBytes);
 
   std::uint64_t mMaxBytes;
   std::string& mBody;
