--- a/Source/Entry/CallerSession.cxx
+++ b/Source/Entry/CallerSession.cxx
@@ -25,7 +25,9 @@
 /// much beyond the largest permitted body.
 constexpr std::chrono::seconds kLinger{ 2 };
 constexpr std::size_t kMaxLingerBytes = std::size_t(16) << 20U;
-constexpr std::size_t kReadBytes = 16384;
+/// Small, since each connection that waits for a request has a buffer for it.
+constexpr std::size_t kReadBytes = 4096;
+constexpr std::size_t kBodyReadBytes = 16384;
 constexpr std::size_t kLingerReadBytes = 4096;
 /// Charged for each connection beside its buffers.
 constexpr std::size_t kConnectionBytes = 8192;
@@ -200,8 +202,9 @@
 CallerSession::ReadSome(std::size_t aBodyBytes)
 {
   error_code ec;
-  const auto n = co_await mStream.async_read_some(mBuffer.prepare(kReadBytes),
-                                                  RedirectError(ec));
+  const auto space =
+    mBuffer.prepare(aBodyBytes > 0 ? kBodyReadBytes : kReadBytes);
+  const auto n = co_await mStream.async_read_some(space, RedirectError(ec));
   mBuffer.commit(n);
   mCharge.AddProgress(n);
   if (mCharge.IsEvicted() || (!ec && !Charge(aBodyBytes + n))) {
