Core: Limit the data of chunks in the decoder

RequestBody and RequestScanner each compared the sizes of chunks with the limit of a body, and RequestBody had the decoder's states once more under names of its own. The decoder has the limit now, at the same byte as before.

The limit of requests is raised for a large body only when a body is awaited, not for each request.

--- a/Source/Core/ChunkDecoder.cxx
+++ b/Source/Core/ChunkDecoder.cxx
@@ -1,7 +1,6 @@
 #include "Core/ChunkDecoder.h"
 
 #include <algorithm>
-#include <limits>
 
 namespace ragwortdeck {
 
@@ -79,11 +78,11 @@
       AcceptSize(aByte);
       return;
     case Place::kExtension:
-      Expect(aByte == '\r' || IsText(aByte),
-             aByte == '\r' ? Place::kSizeEnd : Place::kExtension);
+      AcceptText(aByte, Place::kSizeEnd, Place::kExtension);
       return;
     case Place::kSizeEnd:
       Expect(aByte == '\n', mLeft > 0 ? Place::kData : Place::kTrailerStart);
+      mBodyLeft -= mLeft;
       mLineBytes = 0;
       return;
     case Place::kData:
@@ -97,12 +96,10 @@
       mLineBytes = 0;
       return;
     case Place::kTrailerStart:
-      Expect(aByte == '\r' || IsText(aByte),
-             aByte == '\r' ? Place::kTrailerEnd : Place::kTrailer);
+      AcceptText(aByte, Place::kTrailerEnd, Place::kTrailer);
       return;
     case Place::kTrailer:
-      Expect(aByte == '\r' || IsText(aByte),
-             aByte == '\r' ? Place::kTrailerLineEnd : Place::kTrailer);
+      AcceptText(aByte, Place::kTrailerLineEnd, Place::kTrailer);
       return;
     case Place::kTrailerLineEnd:
       Expect(aByte == '\n', Place::kTrailerStart);
@@ -113,6 +110,12 @@
   }
 }
 
+void
+ChunkDecoder::AcceptText(char aByte, Place aAtReturn, Place aElse)
+{
+  Expect(aByte == '\r' || IsText(aByte), aByte == '\r' ? aAtReturn : aElse);
+}
+
 void
 ChunkDecoder::AcceptSize(char aByte)
 {
@@ -125,6 +128,9 @@
     }
     mLeft = mLeft * kHexBase + static_cast<std::uint64_t>(digit);
     mHasDigit = true;
+    if (mLeft > mBodyLeft) {
+      mState = State::kTooLarge;
+    }
     return;
   }
   // Spaces before an extension are allowed (RFC 9112, 7.1.1).
--- a/Source/Core/ChunkDecoder.h
+++ b/Source/Core/ChunkDecoder.h
@@ -2,6 +2,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <limits>
 #include <string_view>
 
 namespace ragwortdeck {
@@ -16,6 +17,8 @@
     kReading,
     kDone,
     kMalformed,
+    /// The chunks exceed the limit of the body.
+    kTooLarge,
     /// A chunk's line or the trailer is longer than the limit.
     kTooLong,
   };
@@ -29,17 +32,18 @@
   };
 
   /// aMaxLineBytes limits the size and extension of one chunk, and the trailer
-  /// as a whole.
-  explicit ChunkDecoder(std::size_t aMaxLineBytes)
+  /// as a whole; aMaxBodyBytes the sizes of all chunks.
+  explicit ChunkDecoder(
+    std::size_t aMaxLineBytes,
+    std::uint64_t aMaxBodyBytes = std::numeric_limits<std::uint64_t>::max())
     : mMaxLineBytes(aMaxLineBytes)
+    , mBodyLeft(aMaxBodyBytes)
   {
   }
 
   /// Takes some of aBytes, at least one unless the body has ended.
   Step Next(std::string_view aBytes);
   State Current() const { return mState; }
-  /// Bytes of data that are due of the current chunk.
-  std::uint64_t Left() const { return mLeft; }
 
 private:
   enum class Place : std::uint8_t
@@ -58,14 +62,19 @@
 
   void Accept(char aByte);
   void AcceptSize(char aByte);
+  /// Goes on to aAtReturn at the end of a line, and to aElse within its text.
+  void AcceptText(char aByte, Place aAtReturn, Place aElse);
   /// Goes on to aPlace if aIsExpected.
   void Expect(bool aIsExpected, Place aPlace);
 
   std::size_t mMaxLineBytes;
+  /// Bytes that the body may still have beyond the current chunk.
+  std::uint64_t mBodyLeft;
   State mState = State::kReading;
   Place mPlace = Place::kSize;
   bool mHasDigit = false;
   std::size_t mLineBytes = 0;
+  /// Size of the current chunk, less what was taken of it.
   std::uint64_t mLeft = 0;
 };
 
--- a/Source/Entry/CallerSession.cxx
+++ b/Source/Entry/CallerSession.cxx
@@ -340,9 +340,6 @@
                         const HeadParser& aParser,
                         const CallerLimits& aLimits)
 {
-  mContext.mMemory.FitOne(
-    MemoryUse::kRequest,
-    static_cast<std::size_t>(aLimits.mBodyBytes + aLimits.mHeaderBytes));
   RequestBody body(aParser, aLimits, aRequest.mRequest.body());
   const auto end = mContext.Now() + Duration(kBodyTimeout);
   mStream.expires_after(kBodyTimeout);
@@ -358,7 +355,7 @@
       case RequestBody::State::kTooLarge:
         co_await Reject(aRequest, kStatusTooLarge, kBodyTooLarge);
         co_return false;
-      case RequestBody::State::kLineTooLong:
+      case RequestBody::State::kTooLong:
         co_await Reject(aRequest,
                         kStatusHeaderTooLarge,
                         "a chunk's header or the trailer is too long");
@@ -367,6 +364,9 @@
         break;
     }
     if (std::exchange(isFirst, false)) {
+      mContext.mMemory.FitOne(
+        MemoryUse::kRequest,
+        static_cast<std::size_t>(aLimits.mBodyBytes + aLimits.mHeaderBytes));
       if (co_await DenyFromHead(aRequest)) {
         co_return false;
       }
--- a/Source/Entry/CallerSession.h
+++ b/Source/Entry/CallerSession.h
@@ -1,6 +1,5 @@
 #pragma once
 
-#include "Core/ChunkDecoder.h"
 #include "Entry/CallerRequest.h"
 #include "Entry/EntryContext.h"
 
--- a/Source/Entry/RequestBody.cxx
+++ b/Source/Entry/RequestBody.cxx
@@ -7,16 +7,16 @@
 RequestBody::RequestBody(const http::request_parser<http::empty_body>& aHead,
                          const CallerLimits& aLimits,
                          std::string& aBody)
-  : mMaxBytes(static_cast<std::uint64_t>(aLimits.mBodyBytes))
-  , mBody(aBody)
+  : mBody(aBody)
 {
+  const auto maxBytes = static_cast<std::uint64_t>(aLimits.mBodyBytes);
   if (aHead.chunked()) {
-    mChunks.emplace(static_cast<std::size_t>(aLimits.mHeaderBytes));
+    mChunks.emplace(static_cast<std::size_t>(aLimits.mHeaderBytes), maxBytes);
     return;
   }
   mLength = aHead.content_length().value_or(0);
   // The memory is taken as the bytes arrive, and never copied to grow.
-  mBody.reserve(static_cast<std::size_t>(std::min(mLength, mMaxBytes)));
+  mBody.reserve(static_cast<std::size_t>(std::min(mLength, maxBytes)));
 }
 
 std::size_t
@@ -47,23 +47,7 @@
     const auto step = aChunks.Next(rest);
     mBody.append(step.mData);
     rest.remove_prefix(step.mTaken);
-    switch (aChunks.Current()) {
-      case ChunkDecoder::State::kReading:
-        if (aChunks.Left() > mMaxBytes ||
-            mBody.size() + aChunks.Left() > mMaxBytes) {
-          mState = State::kTooLarge;
-        }
-        break;
-      case ChunkDecoder::State::kDone:
-        mState = State::kDone;
-        break;
-      case ChunkDecoder::State::kMalformed:
-        mState = State::kMalformed;
-        break;
-      case ChunkDecoder::State::kTooLong:
-        mState = State::kLineTooLong;
-        break;
-    }
+    mState = aChunks.Current();
   }
   return aBytes.size() - rest.size();
 }
--- a/Source/Entry/RequestBody.h
+++ b/Source/Entry/RequestBody.h
@@ -10,20 +10,12 @@
 namespace ragwortdeck {
 
 /// \brief Takes the body of a caller's request from the bytes that arrive after
-/// its head. Sizes and extensions of chunks, and trailers, are dropped.
+/// its head. Sizes and extensions of chunks, and trailers, are dropped; they
+/// have the limit of a head.
 class RequestBody
 {
 public:
-  enum class State
-  {
-    kReading,
-    kDone,
-    kMalformed,
-    kTooLarge,
-    /// The size and extension of a chunk, or the trailer, exceed the limit of a
-    /// head.
-    kLineTooLong,
-  };
+  using State = ChunkDecoder::State;
 
   /// Appends the body to aBody, which must outlive this object.
   RequestBody(const http::request_parser<http::empty_body>& aHead,
@@ -38,7 +30,6 @@
   std::size_t TakeSized(std::string_view aBytes);
   std::size_t TakeChunks(ChunkDecoder& aChunks, std::string_view aBytes);
 
-  std::uint64_t mMaxBytes;
   std::string& mBody;
   /// Length that the head states.
   std::uint64_t mLength = 0;
--- a/Source/Filters/RequestScanner.cxx
+++ b/Source/Filters/RequestScanner.cxx
@@ -199,10 +199,9 @@
   mBodyBytes += step.mData.size();
   switch (mChunks.Current()) {
     case ChunkDecoder::State::kReading:
-      if (mChunks.Left() > mMaxBodyBytes ||
-          mBodyBytes + mChunks.Left() > mMaxBodyBytes) {
-        mState = State::kBodyTooLarge;
-      }
+      break;
+    case ChunkDecoder::State::kTooLarge:
+      mState = State::kBodyTooLarge;
       break;
     case ChunkDecoder::State::kDone:
       mState = State::kComplete;
--- a/Source/Filters/RequestScanner.h
+++ b/Source/Filters/RequestScanner.h
@@ -30,7 +30,7 @@
   RequestScanner(std::size_t aMaxHeaderBytes, std::size_t aMaxBodyBytes)
     : mMaxHeaderBytes(aMaxHeaderBytes)
     , mMaxBodyBytes(aMaxBodyBytes)
-    , mChunks(aMaxHeaderBytes)
+    , mChunks(aMaxHeaderBytes, aMaxBodyBytes)
   {
   }
 
--- a/Tests/Core/ChunkDecoderTest.cxx
+++ b/Tests/Core/ChunkDecoderTest.cxx
@@ -123,6 +123,20 @@
       }
       CPPUNIT_ASSERT(Decode(text, 1).mState == State::kTooLong);
     });
+    Section("the data of all chunks", [&] {
+      const auto decode = [](std::string_view aText) {
+        ChunkDecoder decoder(64, 10);
+        while (!aText.empty() && decoder.Current() == State::kReading) {
+          aText.remove_prefix(decoder.Next(aText).mTaken);
+        }
+        return decoder.Current();
+      };
+      CPPUNIT_ASSERT(decode("4\r\nabcd\r\n6\r\nefghij\r\n0\r\n\r\n") ==
+                     State::kDone);
+      CPPUNIT_ASSERT(decode("4\r\nabcd\r\n7") == State::kTooLarge);
+      CPPUNIT_ASSERT(decode("b") == State::kTooLarge);
+      CPPUNIT_ASSERT(decode("ffffffffffffffff") == State::kTooLarge);
+    });
     Section("each chunk has the limit of its own", [&] {
       std::string text;
       for (int n = 0; n < 20; ++n) {
