--- a/Source/Core/HostResources.cxx
+++ b/Source/Core/HostResources.cxx
@@ -34,6 +34,28 @@
     { machine, LimitOf(RLIMIT_AS, machine), LimitOf(RLIMIT_DATA, machine) });
 }
 
+std::size_t
+ReadMemoryBytes(SettingsSection& aRoot,
+                std::int64_t aMinMb,
+                std::int64_t aMaxDefaultMb)
+{
+  constexpr std::size_t kMegabyte = std::size_t(1) << 20U;
+  const auto hostMb = std::int64_t(HostMemoryBytes() / kMegabyte);
+  return kMegabyte *
+         std::size_t(aRoot.Integer("memory_mb",
+                                   std::clamp(hostMb, aMinMb, aMaxDefaultMb),
+                                   aMinMb,
+                                   kMaxMemoryMb));
+}
+
+std::size_t
+CallerDescriptors(std::size_t aDescriptors)
+{
+  constexpr std::size_t kPercent = 100;
+  constexpr std::size_t kCallersPercent = 60;
+  return aDescriptors * kCallersPercent / kPercent;
+}
+
 std::size_t
 MaxOpenDescriptors()
 {
--- a/Source/Core/MemoryAccount.cxx
+++ b/Source/Core/MemoryAccount.cxx
@@ -14,6 +14,7 @@
 constexpr std::array<std::size_t, 3> kDivisors = { 4, 4, 12 };
 /// Large charges use this part of a limit, in quarters.
 constexpr std::size_t kLargeQuarters = 3;
+constexpr std::size_t kQuarters = 4;
 /// Progress is what passed in the current window and the one before.
 constexpr Duration kProgressWindow = std::chrono::seconds(1);
 
@@ -73,7 +74,6 @@
 void
 MemoryAccount::FitOne(MemoryUse aUse, std::size_t aBytes)
 {
-  constexpr std::size_t kQuarters = 4;
   const std::lock_guard lock(mMutex);
   const auto needed =
     std::min(mHostBytes / 2, aBytes / kLargeQuarters * kQuarters + kSmallBytes);
@@ -102,7 +102,6 @@
 bool
 MemoryAccount::Fits(const Holder& aHolder, std::size_t aBytes) const
 {
-  constexpr std::size_t kQuarters = 4;
   const auto& part = PartOf(aHolder.mUse);
   const auto limit = aBytes <= kSmallBytes
                        ? part.mLimit
--- a/Source/Entry/EntryContext.cxx
+++ b/Source/Entry/EntryContext.cxx
@@ -1,5 +1,6 @@
 #include "Entry/EntryContext.h"
 
+#include "Core/HostResources.h"
 #include "Core/HttpStatus.h"
 #include "Entry/CallerRequest.h"
 #include "Serving/EngineChoice.h"
@@ -62,10 +63,7 @@
 int
 EntryContext::MaxConnections() const
 {
-  constexpr std::size_t kCallersPercent = 60;
-  constexpr std::size_t kPercent = 100;
-  return static_cast<int>(mSettings.mMaxDescriptors * kCallersPercent /
-                          kPercent);
+  return static_cast<int>(CallerDescriptors(mSettings.mMaxDescriptors));
 }
 
 bool
--- a/Source/Entry/EntrySettings.cxx
+++ b/Source/Entry/EntrySettings.cxx
@@ -21,15 +21,9 @@
   settings.mLinkMbps =
     static_cast<int>(aRoot.Number("link_mbps", 0, 0, kMaxLinkMbps));
   constexpr std::int64_t kMinMemoryMb = 16;
-  constexpr std::int64_t kMaxMemoryMb = 1 << 20;
-  constexpr std::size_t kMegabyte = std::size_t(1) << 20U;
   // Entry hosts are small; a larger one has to state its memory.
-  constexpr std::size_t kMaxDefaultMb = 128;
-  const auto machineMb = static_cast<std::int64_t>(std::clamp<std::size_t>(
-    HostMemoryBytes() / kMegabyte, kMinMemoryMb, kMaxDefaultMb));
-  settings.mMemoryBytes =
-    kMegabyte * static_cast<std::size_t>(aRoot.Integer(
-                  "memory_mb", machineMb, kMinMemoryMb, kMaxMemoryMb));
+  constexpr std::int64_t kMaxDefaultMb = 128;
+  settings.mMemoryBytes = ReadMemoryBytes(aRoot, kMinMemoryMb, kMaxDefaultMb);
   constexpr std::int64_t kMinDescriptors = 64;
   constexpr std::int64_t kMaxDescriptors = 1 << 20;
   const auto openable = static_cast<std::int64_t>(MaxOpenDescriptors());
--- a/Source/Filters/RouterSettings.cxx
+++ b/Source/Filters/RouterSettings.cxx
@@ -127,11 +127,8 @@
     aSection.Integer("max_body_bytes", 1 << 20, 1, std::int64_t(1) << 30));
   connections.mMaxHeaderBytes =
     std::size_t(aSection.Integer("max_header_bytes", 16 << 10, 256, 1 << 20));
-  // The other descriptors are for targets and files.
-  constexpr std::int64_t kCallersPercent = 60;
-  constexpr std::int64_t kPercent = 100;
   const auto openable = std::max<std::int64_t>(
-    1, std::int64_t(MaxOpenDescriptors()) * kCallersPercent / kPercent);
+    1, std::int64_t(CallerDescriptors(MaxOpenDescriptors())));
   const auto total = std::min(
     openable, aSection.Integer("max_connections", 20'000, 1, 1'000'000));
   const auto threads = std::int64_t(aSettings.mThreads);
@@ -222,16 +219,7 @@
   settings.mListen = aRoot.RequiredEndpoint("listen");
   settings.mThreads = Unsigned(aRoot, "threads", 2, 1, 64);
   constexpr std::int64_t kMinMemoryMb = 32;
-  constexpr std::int64_t kMaxMemoryMb = 1 << 20;
-  constexpr std::size_t kMegabyte = std::size_t(1) << 20U;
-  settings.mMemoryBytes =
-    kMegabyte * std::size_t(aRoot.Integer(
-                  "memory_mb",
-                  std::clamp(std::int64_t(HostMemoryBytes() / kMegabyte),
-                             kMinMemoryMb,
-                             kMaxMemoryMb),
-                  kMinMemoryMb,
-                  kMaxMemoryMb));
+  settings.mMemoryBytes = ReadMemoryBytes(aRoot, kMinMemoryMb);
   settings.mKeys = ReadSharedKeys(aRoot);
   MakeKeyRing(aRoot, settings.mKeys);
   const auto dispatchers = DispatcherNames();
