Filters: Let the head of a stream leave with its first event

Since replies are charged, the gate flushed each write, so the head of a stream went out in a packet of its own. The exchange flushes again, as it did before, and has one way to write with and without a gate.

--- a/Source/Filters/CallerExchange.cxx
+++ b/Source/Filters/CallerExchange.cxx
@@ -82,14 +82,9 @@
   if (mCloses) {
     aHeaders.emplace_back("Connection", "close");
   }
-  const auto head = ReplyHead(kStatusOk, aHeaders);
-  if (!IsOpen()) {
-    return;
-  }
-  if (mGate) {
-    mGate->Write(head);
-  } else {
-    mSocket->write(head);
+  if (IsOpen()) {
+    // Leaves together with the first event.
+    Write(ReplyHead(kStatusOk, aHeaders));
   }
 }
 
@@ -128,11 +123,18 @@
   if (!IsOpen()) {
     return;
   }
+  Write(aBytes);
+  // Without this, Qt writes in a later turn of the event loop.
+  mSocket->flush();
+}
+
+void
+CallerExchange::Write(const QByteArray& aBytes)
+{
   if (mGate) {
     mGate->Write(aBytes);
   } else {
     mSocket->write(aBytes);
-    mSocket->flush();
   }
 }
 
--- a/Source/Filters/CallerExchange.h
+++ b/Source/Filters/CallerExchange.h
@@ -63,6 +63,7 @@
 private:
   void OnDisconnected();
   void Send(const QByteArray& aBytes);
+  void Write(const QByteArray& aBytes);
   void CheckBuffer();
   void OnProgress();
   void Finish();
--- a/Source/Filters/CallerServer.cxx
+++ b/Source/Filters/CallerServer.cxx
@@ -212,8 +212,6 @@
     return;
   }
   mSocket.write(aBytes);
-  // Without this, Qt writes in a later turn of the event loop.
-  mSocket.flush();
 }
 
 void
