--- a/Tests/ClientLimits/entry_site.py
+++ b/Tests/ClientLimits/entry_site.py
@@ -10,18 +10,18 @@
 import store
 import targets
 import wire
-from process import MB
-from program_site import ProgramSite
+from program_site import (
+    LARGE_ANSWER,
+    MAX_BODY,
+    MAX_HEADER,
+    TIMEOUT_MS,
+    ProgramSite,
+)
 
 HOST = "limits.example"
 KEY = "steady"
 # Of the machine that the entry process is told it runs on.
 MEMORY_MB = 64
-MAX_BODY = 4 * MB
-MAX_HEADER = 256 << 10
-# So long that no test depends on them.
-TIMEOUT_MS = 120000
-LARGE_ANSWER = 6 * MB
 PROGRAM = "ragwort-entry"
 
 SETTINGS = """\
--- a/Tests/ClientLimits/program_site.py
+++ b/Tests/ClientLimits/program_site.py
@@ -4,7 +4,14 @@
 import subprocess
 
 import wire
-from process import Process
+from process import MB, Process
+
+DESCRIPTORS = 4096
+MAX_BODY = 4 * MB
+MAX_HEADER = 256 << 10
+# So long that no test depends on them.
+TIMEOUT_MS = 120000
+LARGE_ANSWER = 6 * MB
 
 
 class ProgramSite:
--- a/Tests/ClientLimits/router_site.py
+++ b/Tests/ClientLimits/router_site.py
@@ -9,7 +9,13 @@
 
 import wire
 from process import MB
-from program_site import ProgramSite
+from program_site import (
+    LARGE_ANSWER,
+    MAX_BODY,
+    MAX_HEADER,
+    TIMEOUT_MS,
+    ProgramSite,
+)
 
 KEY_ID = "k1"
 SECRET = "a-secret-of-16-bytes-or-more"
@@ -17,11 +23,6 @@
 TEAM = "bakers"
 # Of the machine that the router is told it runs on.
 MEMORY_MB = 128
-MAX_BODY = 4 * MB
-MAX_HEADER = 256 << 10
-# So long that no test depends on them.
-TIMEOUT_MS = 120000
-LARGE_ANSWER = 6 * MB
 # Of an answer that an engine does not end.
 ENDLESS_ANSWER = 16 * MB
 PROGRAM = "ragwort-router"
--- a/Tests/ClientLimits/run.py
+++ b/Tests/ClientLimits/run.py
@@ -17,6 +17,7 @@
 import crowd
 from entry_site import EntrySite
 from process import MB
+from program_site import DESCRIPTORS, LARGE_ANSWER, MAX_BODY, MAX_HEADER
 from router_site import RouterSite
 
 SITES = {"Entry": EntrySite, "Router": RouterSite}
@@ -26,7 +27,6 @@
 ENDLESS_BYTES = 24 * MB
 READERS = 30
 CONNECTIONS = 300
-DESCRIPTORS = 4096
 FEW_DESCRIPTORS = 200
 # The rest stays free for connections to targets.
 BOUND_OF_FEW = 180
@@ -37,18 +37,6 @@
 Test = collections.namedtuple("Test", "kind name net")
 
 
-def memory_of(site):
-    return site.memory_mb * MB
-
-
-def max_body_of(site):
-    return sys.modules[type(site).__module__].MAX_BODY
-
-
-def max_header_of(site):
-    return sys.modules[type(site).__module__].MAX_HEADER
-
-
 async def send_all(site, count, make_message):
     """Sends the messages of a crowd side by side; returns its clients."""
     clients = []
@@ -64,23 +52,19 @@
 
 
 async def whole_bodies(site):
-    size = max_body_of(site)
-    return await send_all(site, BODIES, lambda it: crowd.sized_body(it, size, 1))
+    return await send_all(site, BODIES, lambda it: crowd.sized_body(it, MAX_BODY, 1))
 
 
 async def bodies_in_pieces(site):
-    size = max_body_of(site)
-    return await send_all(site, BODIES, lambda it: crowd.sized_body(it, size, 256))
+    return await send_all(site, BODIES, lambda it: crowd.sized_body(it, MAX_BODY, 256))
 
 
 async def large_chunks(site):
-    size = max_body_of(site)
-    return await send_all(site, BODIES, lambda it: crowd.chunked_body(it, size, MB))
+    return await send_all(site, BODIES, lambda it: crowd.chunked_body(it, MAX_BODY, MB))
 
 
 async def small_chunks(site):
-    size = max_body_of(site)
-    return await send_all(site, BODIES, lambda it: crowd.chunked_body(it, size, 16))
+    return await send_all(site, BODIES, lambda it: crowd.chunked_body(it, MAX_BODY, 16))
 
 
 async def trailers(site):
@@ -108,7 +92,7 @@
 
 
 async def heads(site):
-    size = max_header_of(site) - 4
+    size = MAX_HEADER - 4
     return await send_all(site, HEADS, lambda it: crowd.large_head(it, size))
 
 
@@ -179,12 +163,11 @@
     if not site.process.is_up():
         code = site.process.process.returncode
         problems.append(f"the process ended with {code}: {site.process.last_words()}")
-    if site.process.most_memory > memory_of(site):
+    if site.process.most_memory > site.memory_mb * MB:
         problems.append(
-            f"memory {site.process.most_memory / MB:.0f} MB of "
-            f"{memory_of(site) / MB:.0f} MB"
+            f"memory {site.process.most_memory / MB:.0f} MB of {site.memory_mb} MB"
         )
-    bound = min(site.descriptors - 1, BOUND_OF_FEW if is_few(site) else 1 << 30)
+    bound = BOUND_OF_FEW if site.descriptors == FEW_DESCRIPTORS else DESCRIPTORS - 1
     if site.process.most_descriptors > bound:
         problems.append(
             f"{site.process.most_descriptors} open descriptors of {bound}"
@@ -196,19 +179,14 @@
     return problems
 
 
-def is_few(site):
-    return site.descriptors == FEW_DESCRIPTORS
-
-
 async def judge_calm(site):
     """Single requests inside the limits, one after the other."""
-    size = max_body_of(site)
     head = site.crowd_head(0)
     messages = {
-        "a body with a length": crowd.sized_body(head, size, 1),
-        "large chunks": crowd.chunked_body(head, size, MB),
-        "small chunks": crowd.chunked_body(head, size, 16),
-        "a trailer": crowd.chunked_body(head, size, 65536, b"X-Sum: 1\r\n"),
+        "a body with a length": crowd.sized_body(head, MAX_BODY, 1),
+        "large chunks": crowd.chunked_body(head, MAX_BODY, MB),
+        "small chunks": crowd.chunked_body(head, MAX_BODY, 16),
+        "a trailer": crowd.chunked_body(head, MAX_BODY, 65536, b"X-Sum: 1\r\n"),
     }
     problems = []
     for name, message in messages.items():
@@ -216,7 +194,7 @@
         if status != 200:
             problems.append(f"{name}: {status}")
     status, body = await site.ask(site.large_request(0))
-    if status != 200 or len(body) != 6 * MB:
+    if status != 200 or len(body) != LARGE_ANSWER:
         problems.append(f"a large answer: {status}, {len(body)} bytes")
     if not site.process.is_up():
         problems.append("the process ended")
@@ -240,9 +218,8 @@
 
 
 def main():
-    chosen = [("Entry", ["Calm", *CROWDS])]
-    chosen.append(("Router", ["Calm", *CROWDS, *ROUTER_CROWDS]))
-    pairs = [(kind, name) for kind, group in chosen for name in group]
+    pairs = [(kind, name) for kind in SITES for name in ["Calm", *CROWDS]]
+    pairs += [("Router", name) for name in ROUTER_CROWDS]
     # Each test has a network of its own.
     tests = [Test(*pair, FIRST_NET + n) for n, pair in enumerate(pairs)]
     names = {f"ClientLimits{it.kind}{it.name}": it for it in tests}
