Entry: Don't take a part of an answer for the whole where the upload fails

A target answered a long upload at once with a 200 that had no length, sent part of its body and reset the connection while the upload was still being written. The caller got that part as a complete answer; a stream got its last chunk.

The kernel reports a reset once, to the write or to the read, whichever comes first. Where the write of the request took the error, the read saw the ordinary end of the connection, which marks the end of an answer without a length. The reader did not know of the upload: its outcome was kept beside it, to decide on reuse only.

The connection knows now how far its request has been sent, and AnswerReader alone judges the end of an answer that nothing else marks: it waits for the upload to end, and fails if it failed. All who read answers (whole ones, streams, calls to the store and to engines) go through it. A length or chunks show by themselves that an early answer is whole, so these are valid as before. A target that ends its side and reads on is answered for once the upload is through. Nothing is sent again that may not be repeated; the log says "upload_failed".

--- a/Source/Entry/AnswerReader.cxx
+++ b/Source/Entry/AnswerReader.cxx
@@ -77,6 +77,7 @@
 {
   // A late copy of an answer to HEAD could not be told from one with a body.
   return mIsDone && !mEndsWithConnection && mRequest != Request::kHead &&
+         mConnection->mUpload == TargetConnection::Upload::kSent &&
          Head().keep_alive();
 }
 
@@ -137,9 +138,9 @@
       buffer.prepare(kReadBytes), RedirectError(ec));
     buffer.commit(n);
     if (ec == asio::error::eof) {
-      mIsDone = mEndsWithConnection;
-      co_return mIsDone ? error_code{}
-                        : error_code(http::error::partial_message);
+      ec = co_await JudgeEnd();
+      mIsDone = !ec;
+      co_return ec;
     }
     if (ec) {
       co_return ec;
@@ -150,4 +151,20 @@
   }
 }
 
+Task<error_code>
+AnswerReader::JudgeEnd()
+{
+  if (!mEndsWithConnection) {
+    co_return http::error::partial_message;
+  }
+  // The kernel reports a reset once, to the read or to the write. A target may
+  // also end its side first, and reset what is still being sent.
+  auto connection = mConnection;
+  co_await connection->WaitForUpload();
+  if (connection->mUpload == TargetConnection::Upload::kFailed) {
+    co_return kUploadFailed;
+  }
+  co_return error_code{};
+}
+
 } // namespace ragwortdeck
--- a/Source/Entry/AnswerReader.h
+++ b/Source/Entry/AnswerReader.h
@@ -8,6 +8,10 @@
 
 namespace ragwortdeck {
 
+/// Fails an answer whose end is in doubt: only the end of the connection marks
+/// it, and the request could not be sent.
+inline constexpr auto kUploadFailed = asio::error::broken_pipe;
+
 /// \brief Reads one answer from a connection: its head, and then its body part
 /// by part. What it holds is limited and charged to the connection.
 class AnswerReader
@@ -24,8 +28,8 @@
 
   Task<error_code> ReadHead();
   /// Reads the next part of the body. aPart is valid until the next call, and
-  /// empty when the body has ended. The connection may be reused only after
-  /// that.
+  /// empty when the whole body has been read. The connection may be reused only
+  /// after that.
   Task<error_code> ReadPart(std::string_view& aPart);
 
   const http::response<http::empty_body>& Head() const { return mParser.get(); }
@@ -38,6 +42,9 @@
 
 private:
   void SetFraming();
+  /// The connection has ended. An answer without another mark of its end is
+  /// whole only if it was not reset.
+  Task<error_code> JudgeEnd();
   /// Takes a part of the body from the bytes that have been read.
   std::string_view TakePart(error_code& aError);
 
--- a/Source/Entry/CallClient.cxx
+++ b/Source/Entry/CallClient.cxx
@@ -28,25 +28,21 @@
     co_return Failure(ErrorCode::kUnavailable,
                       ToText(aTo) + " cannot be reached");
   }
-  http::request<http::string_body> request;
-  request.method(aCall.mVerb);
-  request.target(aCall.mPath);
-  request.version(11);
-  request.set(http::field::host, ToText(aTo));
+  auto request = std::make_shared<http::request<http::string_body>>();
+  request->method(aCall.mVerb);
+  request->target(aCall.mPath);
+  request->version(11);
+  request->set(http::field::host, ToText(aTo));
   if (!aCall.mBody.empty()) {
-    request.set(http::field::content_type, "application/json");
-    request.body() = std::move(aCall.mBody);
+    request->set(http::field::content_type, "application/json");
+    request->body() = std::move(aCall.mBody);
   }
-  request.prepare_payload();
-  error_code ec;
+  request->prepare_payload();
   connection->mStream.expires_after(aTimeout);
-  co_await http::async_write(connection->mStream, request, RedirectError(ec));
-  if (ec) {
-    co_return Failure(ErrorCode::kUnavailable,
-                      ToText(aTo) + ": " + ec.message());
-  }
+  connection->Send<http::string_body>(std::move(request));
   MemoryCharge charge(mPool.Memory(), MemoryUse::kAnswer);
   std::string body;
+  error_code ec;
   std::unique_ptr<AnswerReader> reader;
   for (int interim = 0; interim <= kMaxInterimAnswers; ++interim) {
     reader =
@@ -60,12 +56,15 @@
     }
   }
   if (ec) {
+    connection->Close();
     co_return Failure(ec == beast::error::timeout ? ErrorCode::kTimeout
                                                   : ErrorCode::kUnavailable,
                       ToText(aTo) + ": " + ec.message());
   }
   if (isShared) {
-    mPool.ReleaseOrClose(connection, *reader, true);
+    mPool.ReleaseOrClose(connection, *reader);
+  } else {
+    connection->Close();
   }
   co_return CallReply{ reader->Head().result_int(),
                        std::move(body),
--- a/Source/Entry/CallerRequest.cxx
+++ b/Source/Entry/CallerRequest.cxx
@@ -41,13 +41,19 @@
   return headers;
 }
 
-TargetRequest
+std::shared_ptr<const TargetRequest>
 MakeTargetRequest(std::shared_ptr<const CallerRequest> aRequest,
                   const PlatformCodec& aCodec,
                   const TargetRequestHeaders& aHeaders)
 {
+  struct Owner
+  {
+    std::shared_ptr<const CallerRequest> mOrigin;
+    TargetRequest mMessage;
+  };
   const auto& from = aRequest->mRequest;
-  http::request<http::span_body<const char>> request;
+  auto owner = std::make_shared<Owner>();
+  auto& request = owner->mMessage;
   request.method_string(from.method_string());
   request.target(from.target());
   request.version(11);
@@ -57,7 +63,8 @@
   aCodec.WriteTargetRequestHeaders(aHeaders, request);
   request.body() = { from.body().data(), from.body().size() };
   request.prepare_payload();
-  return { std::move(aRequest), std::move(request) };
+  owner->mOrigin = std::move(aRequest);
+  return { owner, &request };
 }
 
 http::response<http::string_body>
--- a/Source/Entry/CallerRequest.h
+++ b/Source/Entry/CallerRequest.h
@@ -93,15 +93,11 @@
                          const std::string& aTarget,
                          MonotonicTime aNow);
 
-/// \brief A request to a target. Its body is the caller's, which is not copied.
-struct TargetRequest
-{
-  std::shared_ptr<const CallerRequest> mOrigin;
-  http::request<http::span_body<const char>> mMessage;
-};
+using TargetRequest = http::request<http::span_body<const char>>;
 
-/// Makes the request that is sent to a target.
-TargetRequest
+/// Makes the request that is sent to a target. It keeps aRequest, whose body is
+/// not copied.
+std::shared_ptr<const TargetRequest>
 MakeTargetRequest(std::shared_ptr<const CallerRequest> aRequest,
                   const PlatformCodec& aCodec,
                   const TargetRequestHeaders& aHeaders);
--- a/Source/Entry/StreamRun.cxx
+++ b/Source/Entry/StreamRun.cxx
@@ -511,8 +511,7 @@
     MakeTargetRequestHeaders(*mRequest, engine.mId, mContext.Now());
   headers.mMemory = std::move(aMemory);
   headers.mLastEventId = mLastEventId;
-  auto request = std::make_shared<TargetRequest>(
-    MakeTargetRequest(mRequest, mContext.mCodec, headers));
+  auto request = MakeTargetRequest(mRequest, mContext.mCodec, headers);
   mSentAt = mContext.Now();
   mWritingSince.reset();
   mWriteTime = Duration(0);
@@ -521,14 +520,7 @@
   WatchProgress(connection,
                 mSentAt + FirstTokenTimeout(mExpectedFirstToken,
                                             mRequest->mRoute->mLatencyGoal));
-  auto written = std::make_shared<bool>(false);
-  mWritten = written;
-  http::async_write(
-    connection->mStream,
-    request->mMessage,
-    [connection, request, written](const error_code& aError, std::size_t) {
-      *written = !aError;
-    });
+  connection->Send(std::move(request));
   std::unique_ptr<AnswerReader> reader;
   const auto ec = co_await ReadAnswerHeader(mContext,
                                             engine,
@@ -593,7 +585,7 @@
   if (notRun) {
     aConnection->mRefused.insert(mRequest->mCallerHeaders.mId);
   }
-  mContext.mPool.ReleaseOrClose(aConnection, *aReader, *mWritten);
+  mContext.mPool.ReleaseOrClose(aConnection, *aReader);
   if (notRun) {
     mRequest->mReason =
       mEngine.mId + ": not run, status " + std::to_string(status);
@@ -740,7 +732,7 @@
   }
   mContext.mHealth.Succeeded(mEngine.mId, mFirstEventAt - mSentAt);
   mConnection.reset();
-  mContext.mPool.ReleaseOrClose(aConnection, *aReader, *mWritten);
+  mContext.mPool.ReleaseOrClose(aConnection, *aReader);
   const auto ec = co_await mCaller.Complete();
   co_return ec ? SendResult::kCallerGone : SendResult::kComplete;
 }
--- a/Source/Entry/StreamRun.h
+++ b/Source/Entry/StreamRun.h
@@ -154,8 +154,6 @@
   std::uint64_t mMoveReservationId;
   Target mEngine;
   TargetConnectionPtr mConnection;
-  /// The request has been written to mConnection in full.
-  std::shared_ptr<bool> mWritten;
   std::set<std::string> mExcluded;
   std::string mLastEventId;
   std::int64_t mEvents = 0;
--- a/Source/Entry/TargetConnection.cxx
+++ b/Source/Entry/TargetConnection.cxx
@@ -19,6 +19,17 @@
   static_cast<void>(ChargeBuffer());
 }
 
+Task<void>
+TargetConnection::WaitForUpload()
+{
+  const auto self = shared_from_this();
+  while (mUpload == Upload::kSending) {
+    mUploadEnd.expires_at(asio::steady_timer::time_point::max());
+    error_code ec;
+    co_await mUploadEnd.async_wait(RedirectError(ec));
+  }
+}
+
 bool
 TargetConnection::IsReusable()
 {
--- a/Source/Entry/TargetExchange.cxx
+++ b/Source/Entry/TargetExchange.cxx
@@ -43,6 +43,9 @@
       aError == http::error::partial_message) {
     return "cut_off";
   }
+  if (aError == kUploadFailed) {
+    return "upload_failed";
+  }
   return aError == asio::error::connection_reset ? "reset" : "error";
 }
 
@@ -150,20 +153,11 @@
   }
   const auto headers =
     MakeTargetRequestHeaders(mRequest, aTarget.mId, mContext.Now());
-  auto request = std::make_shared<TargetRequest>(
-    MakeTargetRequest(mSharedRequest, mContext.mCodec, headers));
+  auto request = MakeTargetRequest(mSharedRequest, mContext.mCodec, headers);
   outcome.mKind = TargetOutcome::Kind::kBroken;
   mConnection->mStream.expires_never();
-  // The answer may arrive before the whole body is sent, so the write runs
-  // concurrently with the read.
   auto connection = mConnection;
-  auto written = std::make_shared<bool>(false);
-  http::async_write(
-    connection->mStream,
-    request->mMessage,
-    [connection, request, written](const error_code& aError, std::size_t) {
-      *written = !aError;
-    });
+  connection->Send(std::move(request));
   std::unique_ptr<AnswerReader> reader;
   auto ec =
     co_await ReadAnswerHeader(mContext,
@@ -212,7 +206,7 @@
   if (notRun) {
     connection->mRefused.insert(mRequest.mCallerHeaders.mId);
   }
-  mContext.mPool.ReleaseOrClose(connection, *reader, *written);
+  mContext.mPool.ReleaseOrClose(connection, *reader);
   if (notRun) {
     outcome.mKind = TargetOutcome::Kind::kNotRun;
     outcome.mReason = "not run, status " + std::to_string(status);
--- a/Source/Entry/TargetPool.cxx
+++ b/Source/Entry/TargetPool.cxx
@@ -88,10 +88,9 @@
 
 void
 TargetPool::ReleaseOrClose(TargetConnectionPtr aConnection,
-                           const AnswerReader& aAnswer,
-                           bool aSent)
+                           const AnswerReader& aAnswer)
 {
-  if (aSent && aAnswer.MayReuse()) {
+  if (aAnswer.MayReuse()) {
     Release(std::move(aConnection), KeepAliveSeconds(aAnswer.Head()));
   } else {
     aConnection->Close();
--- a/Source/Entry/TargetPool.h
+++ b/Source/Entry/TargetPool.h
@@ -39,12 +39,10 @@
   /// refusals arrived on it.
   /// aKeepAliveSeconds is the idle timeout that the target stated, 0 for none.
   void Release(TargetConnectionPtr aConnection, int aKeepAliveSeconds);
-  /// Returns a connection to the pool if aAnswer is complete and
-  /// permits reuse, and the whole request was sent (aSent); closes it
+  /// Returns a connection to the pool if aAnswer permits reuse; closes it
   /// otherwise.
   void ReleaseOrClose(TargetConnectionPtr aConnection,
-                      const AnswerReader& aAnswer,
-                      bool aSent);
+                      const AnswerReader& aAnswer);
   /// Drops connections whose idle time is over or that the target closed.
   void Sweep();
   /// The account to which the connections are charged.
--- a/Tests/Entry/RelayWorld.cxx
+++ b/Tests/Entry/RelayWorld.cxx
@@ -316,6 +316,20 @@
          "\r\nApi-Key: secret\r\nDeadline-Ms: 30000\r\n" + aExtra + "\r\n";
 }
 
+std::string
+RelayWorld::Upload(const std::string& aKind,
+                   const std::string& aId,
+                   std::size_t aBytes)
+{
+  // The mark that a body is whole comes before its end.
+  const std::string mark = "<end>";
+  const auto size = mark.size() + aBytes;
+  auto request =
+    Request(aKind, aId, "Content-Length: " + std::to_string(size) + "\r\n");
+  request.replace(0, 3, "POST");
+  return request + mark + std::string(aBytes, 'x');
+}
+
 std::string
 RelayWorld::Answer(const std::string& aId, const std::string& aBody)
 {
--- a/Tests/Entry/RelayWorld.h
+++ b/Tests/Entry/RelayWorld.h
@@ -88,6 +88,11 @@
   static std::string Request(const std::string& aKind,
                              const std::string& aId,
                              const std::string& aExtra = "");
+  /// A request on the route aKind with a body of aBytes. ScriptedTarget answers
+  /// it before it has read the rest of the body.
+  static std::string Upload(const std::string& aKind,
+                            const std::string& aId,
+                            std::size_t aBytes);
   /// A target's complete answer.
   static std::string Answer(const std::string& aId, const std::string& aBody);
   /// The header of a target's stream.
