Core, Entry: Read every head of an answer strictly before anything else

An answer with a status of 000 to 099 was skipped like an interim one, so that the bytes of its body counted as the answer: a 000 with another answer in its body gave the caller a 200 with that. 600 and 999 were passed on as statuses. Folded lines were joined, and a first field line that begins with a blank was taken into the head.

Boost.Beast reads three digits as a status and does not ask which, joins folded lines, and every reader compared the status by itself with 200.

AnswerHead checks the head line by line as it arrives, final or interim, before the parser sees it (RFC 9110, RFC 9112): statuses from 100 to 599 but 101, names that are tokens, values without control characters, CRLF, no folded lines, one decimal length or chunks alone. It says which framing the body has as well, so AnswerReader does not ask two parsers. A head that cannot become right fails before its line ends. A refused answer counts as one that broke off: 502, or a second send where the route allows one; the log has an answer_refused line with the reason, and entry_refused_answers_total counts.

--- a/Source/Entry/AnswerReader.cxx
+++ b/Source/Entry/AnswerReader.cxx
@@ -1,8 +1,5 @@
 #include "Entry/AnswerReader.h"
 
-#include "Core/HttpStatus.h"
-#include "Entry/HttpHeaders.h"
-
 #include <algorithm>
 #include <limits>
 
@@ -10,65 +7,121 @@
 
 namespace {
 
+/// Small, since most heads are.
+constexpr std::size_t kHeadReadBytes = 4096;
 constexpr std::size_t kReadBytes = 16384;
 /// Limit of the size and extension of a chunk, and of the trailer.
 constexpr std::size_t kMaxChunkLineBytes = 16384;
 
-/// Answers with these statuses have no body (RFC 9112, 6.3).
-bool
-HasNoBody(unsigned aStatus)
+/// \brief Errors whose values are those of HeadFault.
+class HeadErrors : public boost::system::error_category
+{
+public:
+  const char* name() const noexcept override { return "answer head"; }
+  std::string message(int aValue) const override
+  {
+    return ToText(static_cast<HeadFault>(aValue));
+  }
+};
+
+const HeadErrors kHeadErrors;
+
+std::string_view
+BytesOf(const beast::flat_buffer& aBuffer)
 {
-  constexpr unsigned kNoContent = 204;
-  constexpr unsigned kNotModified = 304;
-  return aStatus < kStatusOk || aStatus == kNoContent ||
-         aStatus == kNotModified;
+  const auto data = aBuffer.data();
+  return { static_cast<const char*>(data.data()), data.size() };
 }
 
 } // namespace
 
+error_code
+MakeErrorCode(HeadFault aFault)
+{
+  return { static_cast<int>(aFault), kHeadErrors };
+}
+
+bool
+IsHeadFault(const error_code& aError)
+{
+  return aError.category() == kHeadErrors;
+}
+
 AnswerReader::AnswerReader(TargetConnectionPtr aConnection, Request aRequest)
   : mConnection(std::move(aConnection))
   , mRequest(aRequest)
 {
+  mParser.header_limit(AnswerHead::kMaxBytes);
   // Whoever reads the body limits it.
   mParser.body_limit(std::numeric_limits<std::uint64_t>::max());
 }
 
 Task<error_code>
-AnswerReader::ReadHead()
+AnswerReader::ReadMore(std::size_t aBytes)
 {
   auto connection = mConnection;
+  auto& buffer = connection->mBuffer;
   error_code ec;
-  co_await http::async_read_header(
-    connection->mStream, connection->mBuffer, mParser, RedirectError(ec));
-  if (ec) {
-    co_return ec;
-  }
-  if (!connection->ChargeBuffer()) {
-    co_return http::error::buffer_overflow;
+  const auto n = co_await connection->mStream.async_read_some(
+    buffer.prepare(aBytes), RedirectError(ec));
+  buffer.commit(n);
+  if (!ec && !connection->ChargeBuffer()) {
+    ec = http::error::buffer_overflow;
   }
-  // A caller would get the coded bytes, or the bytes of another answer, as
-  // the whole body.
-  if (FramingOf(Head(), Head().version()) != BodyFraming::kClear) {
-    co_return http::error::bad_transfer_encoding;
+  co_return ec;
+}
+
+Task<error_code>
+AnswerReader::ReadHead()
+{
+  auto connection = mConnection;
+  auto& buffer = connection->mBuffer;
+  std::size_t size = 0;
+  while (true) {
+    size += mHead.Take(BytesOf(buffer).substr(size));
+    if (mHead.Fault() != HeadFault::kNone) {
+      if (connection->mOnRefused) {
+        connection->mOnRefused(*connection, mHead.Fault());
+      }
+      co_return MakeErrorCode(mHead.Fault());
+    }
+    if (mHead.IsComplete()) {
+      break;
+    }
+    const auto ec = co_await ReadMore(kHeadReadBytes);
+    if (ec == asio::error::eof) {
+      co_return buffer.size() == 0 ? http::error::end_of_stream
+                                   : http::error::partial_message;
+    }
+    if (ec) {
+      co_return ec;
+    }
   }
+  error_code ec;
+  mParser.put(asio::buffer(buffer.data().data(), size), ec);
+  buffer.consume(size);
   SetFraming();
-  co_return error_code{};
+  co_return ec;
 }
 
 void
 AnswerReader::SetFraming()
 {
-  const auto& head = Head();
-  if (mRequest == Request::kHead || HasNoBody(head.result_int())) {
+  if (mRequest == Request::kHead || mHead.HasNoBody()) {
     mIsDone = true;
-  } else if (mParser.chunked()) {
-    mChunks.emplace(kMaxChunkLineBytes);
-  } else if (const auto length = mParser.content_length()) {
-    mLeft = *length;
-    mIsDone = mLeft == 0;
-  } else {
-    mEndsWithConnection = true;
+    return;
+  }
+  switch (mHead.BodyFraming()) {
+    case AnswerHead::Framing::kLength:
+      mLeft = mHead.Length();
+      mIsDone = mLeft == 0;
+      break;
+    case AnswerHead::Framing::kChunks:
+      mChunks.emplace(kMaxChunkLineBytes);
+      break;
+    case AnswerHead::Framing::kUnmarked:
+      mEndsWithConnection = true;
+      break;
   }
 }
 
@@ -84,10 +137,7 @@
 std::string_view
 AnswerReader::TakePart(error_code& aError)
 {
-  auto& buffer = mConnection->mBuffer;
-  const auto data = buffer.data();
-  const std::string_view bytes(static_cast<const char*>(data.data()),
-                               data.size());
+  const auto bytes = BytesOf(mConnection->mBuffer);
   if (mEndsWithConnection) {
     mTaken = bytes.size();
     return bytes;
@@ -134,9 +184,7 @@
     if (mIsDone) {
       co_return error_code{};
     }
-    const auto n = co_await connection->mStream.async_read_some(
-      buffer.prepare(kReadBytes), RedirectError(ec));
-    buffer.commit(n);
+    ec = co_await ReadMore(kReadBytes);
     if (ec == asio::error::eof) {
       ec = co_await JudgeEnd();
       mIsDone = !ec;
@@ -145,9 +193,6 @@
     if (ec) {
       co_return ec;
     }
-    if (!connection->ChargeBuffer()) {
-      co_return http::error::buffer_overflow;
-    }
   }
 }
 
--- a/Source/Entry/AnswerReader.h
+++ b/Source/Entry/AnswerReader.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "Core/AnswerHead.h"
 #include "Core/ChunkDecoder.h"
 #include "Entry/TargetConnection.h"
 
@@ -12,6 +13,14 @@
 /// it, and the request could not be sent.
 inline constexpr auto kUploadFailed = asio::error::broken_pipe;
 
+/// The error of an answer whose head is refused; its category is "answer head".
+error_code
+MakeErrorCode(HeadFault aFault);
+
+/// Whether aError is one of MakeErrorCode().
+bool
+IsHeadFault(const error_code& aError);
+
 /// \brief Reads one answer from a connection: its head, and then its body part
 /// by part. What it holds is limited and charged to the connection.
 class AnswerReader
@@ -26,6 +35,7 @@
 
   AnswerReader(TargetConnectionPtr aConnection, Request aRequest);
 
+  /// Fails where AnswerHead finds a fault, which is reported to the connection.
   Task<error_code> ReadHead();
   /// Reads the next part of the body. aPart is valid until the next call, and
   /// empty when the whole body has been read. The connection may be reused only
@@ -42,6 +52,8 @@
 
 private:
   void SetFraming();
+  /// Reads more bytes into the buffer of the connection.
+  Task<error_code> ReadMore(std::size_t aBytes);
   /// The connection has ended. An answer without another mark of its end is
   /// whole only if it was not reset.
   Task<error_code> JudgeEnd();
@@ -50,6 +62,7 @@
 
   TargetConnectionPtr mConnection;
   Request mRequest;
+  AnswerHead mHead;
   http::response_parser<http::empty_body> mParser;
   std::optional<ChunkDecoder> mChunks;
   std::uint64_t mLeft = 0;
--- a/Source/Entry/EntryContext.cxx
+++ b/Source/Entry/EntryContext.cxx
@@ -49,6 +49,14 @@
   , mCrashWatch(*this)
   , mStartedAt(aClock.Now())
 {
+  mPool.SetOnRefused(
+    [this](const TargetConnection& aConnection, HeadFault aFault) {
+      mMetrics.Count("entry_refused_answers_total");
+      mLog.Write("answer_refused",
+                 { { "id", aConnection.mLastRequest },
+                   { "address", ToText(aConnection.mEndpoint) },
+                   { "why", ToText(aFault) } });
+    });
 }
 
 void
--- a/Source/Entry/TargetConnection.h
+++ b/Source/Entry/TargetConnection.h
@@ -1,10 +1,12 @@
 #pragma once
 
+#include "Core/AnswerHead.h"
 #include "Core/Clock.h"
 #include "Core/MemoryCharge.h"
 #include "Core/Settings.h"
 #include "Entry/Asio.h"
 
+#include <functional>
 #include <memory>
 #include <set>
 
@@ -20,6 +22,8 @@
     kSent,
     kFailed,
   };
+  /// Called with an answer whose head was refused.
+  using OnRefused = std::function<void(const TargetConnection&, HeadFault)>;
 
   /// Bytes that are read ahead. A header, or a chunk's extension, that does not
   /// fit fails the answer.
@@ -68,6 +72,7 @@
   Upload mUpload = Upload::kSent;
   /// Cancelled when the upload ends.
   asio::steady_timer mUploadEnd;
+  OnRefused mOnRefused;
   /// The connection was taken from the pool, so a late copy of an answer to an
   /// earlier request may arrive on it.
   bool mReused = false;
--- a/Source/Entry/TargetExchange.cxx
+++ b/Source/Entry/TargetExchange.cxx
@@ -46,6 +46,9 @@
   if (aError == kUploadFailed) {
     return "upload_failed";
   }
+  if (IsHeadFault(aError)) {
+    return "refused";
+  }
   return aError == asio::error::connection_reset ? "reset" : "error";
 }
 
--- a/Source/Entry/TargetExchange.h
+++ b/Source/Entry/TargetExchange.h
@@ -64,7 +64,7 @@
 /// Describes for the log how an answer ended, where reading it returned aError:
 /// "marked" by its length or last chunk, "end_of_connection" if it is unmarked,
 /// "cut_off" before its end, "reset", "upload_failed" if it is unmarked and the
-/// request could not be sent, or "error".
+/// request could not be sent, "refused" for its head, or "error".
 const char*
 DescribeEnd(const error_code& aError, bool aUnmarked);
 
--- a/Source/Entry/TargetPool.cxx
+++ b/Source/Entry/TargetPool.cxx
@@ -48,6 +48,7 @@
   auto connection =
     std::make_shared<TargetConnection>(mContext, aEndpoint, mMemory);
   connection->mLastRequest = std::move(aRequest);
+  connection->mOnRefused = mOnRefused;
   ++mOpened;
   error_code ec;
   const auto address = asio::ip::make_address(aEndpoint.mAddress, ec);
--- a/Source/Entry/TargetPool.h
+++ b/Source/Entry/TargetPool.h
@@ -43,6 +43,11 @@
   /// otherwise.
   void ReleaseOrClose(TargetConnectionPtr aConnection,
                       const AnswerReader& aAnswer);
+  /// Sets the hook for refused answers on connections that are opened later.
+  void SetOnRefused(TargetConnection::OnRefused aOnRefused)
+  {
+    mOnRefused = std::move(aOnRefused);
+  }
   /// Drops connections whose idle time is over or that the target closed.
   void Sweep();
   /// The account to which the connections are charged.
@@ -58,6 +63,7 @@
   asio::io_context& mContext;
   const Clock& mClock;
   MemoryAccount& mMemory;
+  TargetConnection::OnRefused mOnRefused;
   std::map<Endpoint, std::vector<TargetConnectionPtr>> mIdle;
   std::uint64_t mOpened = 0;
 };
