Targets: Refuse replies whose head is none, on all calls through libcurl

A caller of the router got a status of 600 or 999, and as a 200 what came after other versions, control bytes in the reason, names with blanks, tabs, brackets or control bytes, folded lines, control bytes in values, line feeds alone and a length beyond 64 bits. "Content-Length : 4" is no length to libcurl, so the body that the caller got was not the server's. Orders to engines were taken as accepted from the same bytes.

libcurl takes any digits for a status, skips what it does not understand, and passes the lines on; only transfer codings were checked here.

Each line of a head passes AnswerHead before libcurl goes on; the check of transfer codings is a part of it. A refused reply is a dropped call without a status: a look-up may be repeated and ends as 502 "may-have-run", an order is of unknown effect. One log line has the reason, ragwort_refused_replies_total counts.

What was handled already and keeps its test: resets at once, within the upload and after it, since libcurl fails the call whichever of write and read took the error; 000 to 099.

--- a/Source/Filters/RouterMetrics.cxx
+++ b/Source/Filters/RouterMetrics.cxx
@@ -1,6 +1,7 @@
 #include "Filters/RouterMetrics.h"
 
 #include "Core/ErrorGuard.h"
+#include "Targets/CurlMulti.h"
 
 #include <array>
 #include <sstream>
@@ -108,7 +109,11 @@
          "# TYPE ragwort_open_streams gauge\n"
          "# TYPE ragwort_unexpected_errors_total counter\n"
          "ragwort_unexpected_errors_total " +
-         std::to_string(CaughtErrors()) + "\n";
+         std::to_string(CaughtErrors()) +
+         "\n"
+         "# TYPE ragwort_refused_replies_total counter\n"
+         "ragwort_refused_replies_total " +
+         std::to_string(CurlMulti::CountRefused()) + "\n";
 }
 
 std::string
--- a/Source/Targets/CurlMulti.cxx
+++ b/Source/Targets/CurlMulti.cxx
@@ -1,10 +1,10 @@
 #include "Targets/CurlMulti.h"
 
+#include "Core/AnswerHead.h"
 #include "Core/ErrorGuard.h"
-#include "Core/HttpStatus.h"
 
-#include <QLatin1StringView>
 #include <array>
+#include <atomic>
 #include <cerrno>
 #include <stdexcept>
 #include <sys/epoll.h>
@@ -21,6 +21,8 @@
 /// the buffer per call; its default is 16 KiB.
 constexpr long kReceiveBufferBytes = 4096;
 constexpr int kMaxEventsPerTurn = 256;
+/// Bytes of a call's URL in a log line.
+constexpr std::size_t kMaxLoggedUrl = 200;
 /// Idle connections kept for reuse per thread.
 constexpr long kMaxIdleConnections = 512;
 
@@ -33,6 +35,15 @@
   }
 }
 
+/// Whether a connection was established, on which the request is sent at once.
+bool
+HasConnected(CURL* aEasy)
+{
+  curl_off_t requestSent = 0;
+  curl_easy_getinfo(aEasy, CURLINFO_PRETRANSFER_TIME_T, &requestSent);
+  return requestSent != 0;
+}
+
 TransferEndKind
 ToKind(CURL* aEasy, CURLcode aCode)
 {
@@ -44,31 +55,23 @@
   if (aCode == CURLE_COULDNT_CONNECT && osError == ECONNREFUSED) {
     return TransferEndKind::kRefused;
   }
-  curl_off_t requestSent = 0;
-  curl_easy_getinfo(aEasy, CURLINFO_PRETRANSFER_TIME_T, &requestSent);
-  if (requestSent == 0) {
+  if (!HasConnected(aEasy)) {
     return TransferEndKind::kNotConnected;
   }
   return aCode == CURLE_OPERATION_TIMEDOUT ? TransferEndKind::kTimedOut
                                            : TransferEndKind::kDropped;
 }
 
-/// Whether a line of a head names a transfer coding other than chunks alone.
+/// Whether libcurl took the head of a reply for none before AnswerHead could.
 bool
-NamesUnknownCoding(QLatin1StringView aLine)
+IsNoReply(CURLcode aCode)
 {
-  constexpr QLatin1StringView kName("transfer-encoding");
-  constexpr QLatin1StringView kChunked("chunked");
-  const auto colon = aLine.indexOf(QLatin1Char(':'));
-  if (colon < 0) {
-    return false;
-  }
-  const auto name = aLine.first(colon).trimmed();
-  const auto value = aLine.sliced(colon + 1).trimmed();
-  return name.compare(kName, Qt::CaseInsensitive) == 0 &&
-         value.compare(kChunked, Qt::CaseInsensitive) != 0;
+  return aCode == CURLE_UNSUPPORTED_PROTOCOL ||
+         aCode == CURLE_WEIRD_SERVER_REPLY;
 }
 
+std::atomic<std::uint64_t> sRefused{ 0 };
+
 } // namespace
 
 /// \brief What libcurl needs for one call.
@@ -81,8 +84,12 @@
   CurlMulti::OnData mOnData;
   CurlMulti::OnEnd mOnEnd;
   bool mAbandoned = false;
+  /// The head of the reply, or of an interim one before it.
+  AnswerHead mHead;
+
   /// The head of the reply, interim replies apart, has arrived in full.
-  bool mHasHead = false;
+  bool HasHead() const { return mHead.IsComplete() && !mHead.IsInterim(); }
+  int Status() const { return HasHead() ? int(mHead.Status()) : 0; }
 
   State() = default;
   State(const State&) = delete;
@@ -110,9 +117,13 @@
 int
 CurlTransfer::Status() const
 {
-  long status = 0;
-  curl_easy_getinfo(mState->mEasy, CURLINFO_RESPONSE_CODE, &status);
-  return int(status);
+  return mState->Status();
+}
+
+bool
+CurlTransfer::MayHaveLeft() const
+{
+  return HasConnected(mState->mEasy);
 }
 
 void
@@ -255,16 +266,16 @@
 {
   auto* state = static_cast<CurlTransfer::State*>(aState);
   const auto size = aSize * aCount;
-  const auto line = QLatin1StringView(aData, qsizetype(size)).trimmed();
-  if (line.isEmpty()) {
-    // Interim replies have a head of their own.
-    long status = 0;
-    curl_easy_getinfo(state->mEasy, CURLINFO_RESPONSE_CODE, &status);
-    state->mHasHead = status >= kStatusOk;
+  auto& head = state->mHead;
+  // libcurl passes the trailer here as well.
+  if (state->HasHead()) {
+    return size;
+  }
+  if (head.IsComplete()) {
+    head = {};
   }
-  // A short count makes libcurl end the transfer, which would otherwise pass on
-  // the coded bytes.
-  return NamesUnknownCoding(line) ? 0 : size;
+  // A short count makes libcurl end the transfer.
+  return head.Take({ aData, size }) == size ? size : 0;
 }
 
 size_t
@@ -340,18 +351,7 @@
       continue;
     }
     const auto state = found->second;
-    TransferEnd end;
-    end.mKind = ToKind(easy, code);
-    long status = 0;
-    curl_easy_getinfo(easy, CURLINFO_RESPONSE_CODE, &status);
-    end.mStatus = int(status);
-    if (code != CURLE_OK) {
-      end.mMessage = curl_easy_strerror(code);
-    } else if (!state->mHasHead) {
-      // libcurl counts a reply whose head breaks off as one without a body.
-      end.mKind = TransferEndKind::kDropped;
-      end.mMessage = "the head of the reply broke off";
-    }
+    const auto end = EndOf(*state, code);
     Remove(easy);
     state->mMulti = nullptr;
     if (!state->mAbandoned) {
@@ -360,6 +360,37 @@
   }
 }
 
+TransferEnd
+CurlMulti::EndOf(const CurlTransfer::State& aState, CURLcode aCode) const
+{
+  TransferEnd end{ ToKind(aState.mEasy, aCode), aState.Status(), {} };
+  const auto fault = aState.mHead.Fault();
+  if (fault != HeadFault::kNone || IsNoReply(aCode)) {
+    end.mKind = TransferEndKind::kDropped;
+    end.mMessage =
+      std::string("reply refused: ") +
+      (fault != HeadFault::kNone ? ToText(fault) : curl_easy_strerror(aCode));
+    ++sRefused;
+    const char* url = nullptr;
+    curl_easy_getinfo(aState.mEasy, CURLINFO_EFFECTIVE_URL, &url);
+    kLog.Warning(end.mMessage + ", from " +
+                 std::string(url ? url : "").substr(0, kMaxLoggedUrl));
+  } else if (aCode != CURLE_OK) {
+    end.mMessage = curl_easy_strerror(aCode);
+  } else if (!aState.HasHead()) {
+    // libcurl counts a reply whose head breaks off as one without a body.
+    end.mKind = TransferEndKind::kDropped;
+    end.mMessage = "the head of the reply broke off";
+  }
+  return end;
+}
+
+std::uint64_t
+CurlMulti::CountRefused()
+{
+  return sRefused;
+}
+
 void
 CurlMulti::FlushDeferred()
 {
--- a/Source/Targets/CurlMulti.h
+++ b/Source/Targets/CurlMulti.h
@@ -37,14 +37,15 @@
 /// How an HTTP call ended.
 enum class TransferEndKind
 {
-  /// The whole reply arrived; its status may be any.
+  /// The whole reply arrived; its status is between 200 and 599.
   kReplied,
   /// Nothing listens at the address. The request was not sent.
   kRefused,
   /// No connection was established. The request was not sent.
   kNotConnected,
   kTimedOut,
-  /// The connection ended in the middle of the call.
+  /// The connection ended in the middle of the call, or what arrived is no
+  /// HTTP reply.
   kDropped,
 };
 
@@ -52,6 +53,7 @@
 struct TransferEnd
 {
   TransferEndKind mKind = TransferEndKind::kReplied;
+  /// 0 unless the head of a reply has arrived in full.
   int mStatus = 0;
   std::string mMessage;
 
@@ -69,8 +71,10 @@
   CurlTransfer(const CurlTransfer&) = delete;
   CurlTransfer& operator=(const CurlTransfer&) = delete;
 
-  /// HTTP status; 0 before the status line arrived.
+  /// HTTP status; 0 before the head has arrived in full.
   int Status() const;
+  /// False when no byte of the request can have been sent.
+  bool MayHaveLeft() const;
   /// Stops reading from the target, so that its socket fills up.
   void SetPaused(bool aPaused);
 
@@ -103,6 +107,9 @@
                                       OnData aOnData,
                                       OnEnd aOnEnd);
 
+  /// Number of replies in this process that were refused for their head.
+  static std::uint64_t CountRefused();
+
 private:
   friend class CurlTransfer;
   using StatePtr = std::shared_ptr<CurlTransfer::State>;
@@ -118,6 +125,7 @@
   void OnReadable();
   void Act(curl_socket_t aSocket, int aEvents);
   void CollectEnded();
+  TransferEnd EndOf(const CurlTransfer::State& aState, CURLcode aCode) const;
   void FlushDeferred();
   void Abandon(const StatePtr& aState);
   void Remove(CURL* aEasy);
--- /dev/null
+++ b/Tests/Filters/BrokenAnswersTest.cxx
@@ -0,0 +1,120 @@
+#include "Filters/RouterSite.h"
+#include "Support/RawServer.h"
+#include "Support/Section.h"
+
+namespace ragwortdeck {
+
+namespace {
+
+using Ending = RawServer::Ending;
+
+const QByteArray kEvents =
+  "data: {\"type\":\"response.created\",\"sequence_number\":0,"
+  "\"response\":{\"id\":\"r1\"}}\n\n"
+  "data: {\"type\":\"response.output_text.delta\",\"sequence_number\":1,"
+  "\"delta\":\"odd\"}\n\n"
+  "data: {\"type\":\"response.completed\",\"sequence_number\":2,"
+  "\"response\":{\"id\":\"r1\"}}\n\n";
+
+/// \brief A router whose targets all are one server.
+struct OddSite
+{
+  explicit OddSite(const QByteArray& aAnswer, Ending aEnding = Ending::kClose)
+    : mServer(aAnswer, aEnding)
+  {
+    auto settings = mSite.Settings();
+    auto view = *settings.mBootstrapView;
+    for (auto& [id, target] : view.mTargets) {
+      target.mAddress = mServer.Address();
+    }
+    KindRow kind;
+    kind.mKind = KindName("quick");
+    kind.mDeadlineSeconds = 1;
+    view.mTable.mKinds.emplace(kind.mKind, kind);
+    settings.mBootstrapView = std::make_shared<const SiteView>(view);
+    settings.mLimits.mRelay.mStall = std::chrono::milliseconds(50);
+    mRouter = mSite.MakeRouter(std::move(settings));
+  }
+
+  Answer LookUp() { return mSite.Get(*mRouter, "/v1/services/stock/kits"); }
+  Answer Generate()
+  {
+    return mSite.Post(*mRouter,
+                      "/v1/responses",
+                      R"({"model":"drafts","input":"x","stream":true,)"
+                      R"("metadata":{"kind":"quick"}})");
+  }
+
+  RouterSite mSite;
+  RawServer mServer;
+  std::unique_ptr<Router> mRouter;
+};
+
+} // namespace
+
+/// \brief Tests answers of services and engines that are broken off by a reset,
+/// or whose heads are none, as a caller of the router sees them.
+class BrokenAnswersTest : public CppUnit::TestFixture
+{
+  CPPUNIT_TEST_SUITE(BrokenAnswersTest);
+  CPPUNIT_TEST(TestMalformedLookUps);
+  CPPUNIT_TEST(TestMalformedStreams);
+  CPPUNIT_TEST(TestResetLookUps);
+  CPPUNIT_TEST_SUITE_END();
+
+public:
+  void setUp() override { mReader = std::make_unique<RcuReaderThread>(); }
+  void tearDown() override { mReader.reset(); }
+
+  void TestMalformedLookUps()
+  {
+    std::string taken;
+    for (const auto& answer : MalformedAnswers()) {
+      OddSite site(answer.Bytes("X-First: field\r\n", "odd"));
+      const auto reply = site.LookUp();
+      if (reply.mEnd.mStatus != 502 || reply.State() != "may-have-run" ||
+          reply.mBody.find("odd") != std::string::npos) {
+        taken += answer.mName + std::string(" gave ") +
+                 std::to_string(reply.mEnd.mStatus) + "; ";
+      }
+    }
+    CPPUNIT_ASSERT_EQUAL(std::string(), taken);
+  }
+
+  void TestMalformedStreams()
+  {
+    std::string taken;
+    for (const auto& answer : MalformedAnswers()) {
+      OddSite site(
+        answer.Bytes("Content-Type: text/event-stream\r\n", kEvents));
+      const auto reply = site.Generate();
+      if (reply.mBody.find("odd") != std::string::npos ||
+          reply.mBody.find("response.completed") != std::string::npos) {
+        taken += answer.mName + std::string("; ");
+      }
+    }
+    CPPUNIT_ASSERT_EQUAL(std::string(), taken);
+    Section("a well-formed one is relayed", [&] {
+      OddSite site(
+        "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n" + kEvents);
+      CPPUNIT_ASSERT(site.Generate().mBody.find("odd") != std::string::npos);
+    });
+  }
+
+  void TestResetLookUps()
+  {
+    for (const auto ending : { Ending::kResetAtOnce, Ending::kResetLater }) {
+      OddSite site("HTTP/1.1 200 OK\r\n\r\npart of the body", ending);
+      const auto reply = site.LookUp();
+      CPPUNIT_ASSERT_EQUAL(502, reply.mEnd.mStatus);
+      CPPUNIT_ASSERT_EQUAL(std::string("may-have-run"), reply.State());
+    }
+  }
+
+private:
+  std::unique_ptr<RcuReaderThread> mReader;
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(BrokenAnswersTest);
+
+} // namespace ragwortdeck
