Targets: Take the outcome of an order from a whole answer only

An order whose answer broke off was reported as accepted or stale by its status alone, though the call had failed. It is of unknown effect now, as without any answer.

The last section of BrokenAnswersTest::TestOrders, a 200 and a 409 that break off inside of their bodies, passes with this change; on the code before the test stopped in the section above, so this one was not seen to fail by itself.

--- a/Source/Targets/OrderClient.cxx
+++ b/Source/Targets/OrderClient.cxx
@@ -36,16 +36,16 @@
 }
 
 OrderReport
-ReportOf(int aStatus)
+ReportOf(const TransferEnd& aEnd)
 {
-  if (aStatus >= 200 && aStatus < 300) {
-    return OrderReport::kAccepted;
+  // A part of an answer says nothing of the order.
+  if (aEnd.mKind != TransferEndKind::kReplied) {
+    return OrderReport::kUnknown;
   }
-  if (aStatus == 409 || aStatus == 412) {
+  if (aEnd.mStatus == 409 || aEnd.mStatus == 412) {
     return OrderReport::kStale;
   }
-  // An interim status says nothing of the order.
-  return aStatus >= 300 ? OrderReport::kRefused : OrderReport::kUnknown;
+  return aEnd.mStatus < 300 ? OrderReport::kAccepted : OrderReport::kRefused;
 }
 
 } // namespace
@@ -91,6 +91,7 @@
 
 OrderClient::OrderClient(std::chrono::milliseconds aTimeout)
   : mTimeout(aTimeout)
+  , mCalls(kMaxReplyBytes)
 {
 }
 
@@ -104,38 +105,22 @@
   return call;
 }
 
-void
-OrderClient::Start(const HttpCall& aCall, OnReply aOnReply)
-{
-  const auto number = ++mLastCall;
-  auto& call = mCalls[number];
-  call.mTransfer = mCurl.Start(
-    aCall,
-    [&call](std::string_view aBytes) {
-      call.mBody += aBytes.substr(0, kMaxReplyBytes - call.mBody.size());
-    },
-    [this, number, onReply = std::move(aOnReply)](const TransferEnd& aEnd) {
-      const auto ended = mCalls.extract(number);
-      onReply(aEnd, ended.mapped().mBody);
-    });
-}
-
 void
 OrderClient::ReadState(const Target& aEngine,
                        std::function<void(Result<EngineState>)> aCallback)
 {
-  Start(CallTo(aEngine, "/state"),
-        [callback = std::move(aCallback)](const TransferEnd& aEnd,
-                                          const std::string& aBody) {
-          if (aEnd.mKind != TransferEndKind::kReplied ||
-              aEnd.mStatus != kStatusOk) {
-            callback(Failure(ErrorCode::kUnavailable,
-                             aEnd.mMessage + " (status " +
-                               std::to_string(aEnd.mStatus) + ")"));
-            return;
-          }
-          callback(DecodeEngineState(aBody));
-        });
+  mCalls.Start(CallTo(aEngine, "/state"),
+               [callback = std::move(aCallback)](const TransferEnd& aEnd,
+                                                 const std::string& aBody) {
+                 if (aEnd.mKind != TransferEndKind::kReplied ||
+                     aEnd.mStatus != kStatusOk) {
+                   callback(Failure(ErrorCode::kUnavailable,
+                                    aEnd.mMessage + " (status " +
+                                      std::to_string(aEnd.mStatus) + ")"));
+                   return;
+                 }
+                 callback(DecodeEngineState(aBody));
+               });
 }
 
 void
@@ -147,11 +132,11 @@
   call.mMethod = "POST";
   call.mHeaders = { "Content-Type: application/json" };
   call.mBody = EncodeEngineOrder(aOrder);
-  Start(call,
-        [callback = std::move(aCallback)](const TransferEnd& aEnd,
-                                          const std::string&) {
-          callback(ReportOf(aEnd.mStatus));
-        });
+  mCalls.Start(call,
+               [callback = std::move(aCallback)](const TransferEnd& aEnd,
+                                                 const std::string&) {
+                 callback(ReportOf(aEnd));
+               });
 }
 
 } // namespace ragwortdeck
--- a/Source/Targets/OrderClient.h
+++ b/Source/Targets/OrderClient.h
@@ -3,11 +3,9 @@
 #include "Core/EngineOrder.h"
 #include "Core/Result.h"
 #include "Core/SiteView.h"
-#include "Targets/CurlMulti.h"
+#include "Targets/ShortCalls.h"
 
 #include <functional>
-#include <map>
-#include <memory>
 #include <string>
 
 namespace ragwortdeck {
@@ -36,29 +34,16 @@
   void ReadState(const Target& aEngine,
                  std::function<void(Result<EngineState>)> aCallback);
   /// 2xx is accepted, 409 and 412 are stale, other statuses are refused;
-  /// without a status the effect is unknown.
+  /// without a whole answer the effect is unknown.
   void Send(const Target& aEngine,
             const EngineOrder& aOrder,
             std::function<void(OrderReport)> aCallback);
 
 private:
-  using OnReply = std::function<void(const TransferEnd&, const std::string&)>;
-
-  struct Call
-  {
-    std::unique_ptr<CurlTransfer> mTransfer;
-    std::string mBody;
-  };
-
-  /// aOnReply gets the end of the call and up to kMaxReplyBytes of the body.
-  void Start(const HttpCall& aCall, OnReply aOnReply);
   HttpCall CallTo(const Target& aEngine, const char* aPath) const;
 
   std::chrono::milliseconds mTimeout;
-  CurlMulti mCurl;
-  /// Running calls by their number.
-  std::map<std::uint64_t, Call> mCalls;
-  std::uint64_t mLastCall = 0;
+  ShortCalls mCalls;
 };
 
 } // namespace ragwortdeck
--- a/Tests/Targets/BrokenAnswersTest.cxx
+++ b/Tests/Targets/BrokenAnswersTest.cxx
@@ -202,6 +202,12 @@
       }
     }
     CPPUNIT_ASSERT_EQUAL(std::string(), taken);
+    Section("an answer that breaks off", [&] {
+      server.SetAnswer("HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\n{}");
+      CPPUNIT_ASSERT(report(server) == OrderReport::kUnknown);
+      server.SetAnswer("HTTP/1.1 409 Conflict\r\nContent-Length: 9\r\n\r\n{}");
+      CPPUNIT_ASSERT(report(server) == OrderReport::kUnknown);
+    });
   }
 };
 
