Control, Filters: Take load reports from successful answers only

The control process took a report from an answer with any status that Qt counts as a success, 000 to 099 and 2xx of any kind among them, and from heads that Qt repairs; the router took it from any status, 500 included.

TargetPoller reads through libcurl, and so through AnswerHead; both want 200.

--- a/Source/Control/TargetPoller.h
+++ b/Source/Control/TargetPoller.h
@@ -1,8 +1,7 @@
 #pragma once
 
 #include "Control/LoadSharing.h"
-
-#include <QNetworkAccessManager>
+#include "Targets/ShortCalls.h"
 
 namespace ragwortdeck {
 
@@ -18,7 +17,7 @@
 
 private:
   std::chrono::milliseconds mTimeout;
-  QNetworkAccessManager mManager;
+  ShortCalls mCalls;
 };
 
 } // namespace ragwortdeck
--- a/Source/Filters/LoadPoller.cxx
+++ b/Source/Filters/LoadPoller.cxx
@@ -1,5 +1,6 @@
 #include "Filters/LoadPoller.h"
 
+#include "Core/HttpStatus.h"
 #include "Core/Log.h"
 #include "Targets/LoadReportJson.h"
 
@@ -71,7 +72,8 @@
     [this, reply, id, sent](const TransferEnd& aEnd) {
       const auto keep = std::move(mCalls[id]);
       mCalls.erase(id);
-      if (aEnd.mKind != TransferEndKind::kReplied) {
+      if (aEnd.mKind != TransferEndKind::kReplied ||
+          aEnd.mStatus != kStatusOk) {
         return;
       }
       auto report = ParseLoadReport(*reply);
--- a/Tests/Filters/BrokenAnswersTest.cxx
+++ b/Tests/Filters/BrokenAnswersTest.cxx
@@ -1,3 +1,4 @@
+#include "Filters/LoadPoller.h"
 #include "Filters/RouterSite.h"
 #include "Support/RawServer.h"
 #include "Support/Section.h"
@@ -60,6 +61,7 @@
   CPPUNIT_TEST(TestMalformedLookUps);
   CPPUNIT_TEST(TestMalformedStreams);
   CPPUNIT_TEST(TestResetLookUps);
+  CPPUNIT_TEST(TestLoadOfAFailure);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -111,6 +113,29 @@
     }
   }
 
+  /// Guards against a load that is read from the body of a failure.
+  void TestLoadOfAFailure()
+  {
+    const QByteArray report = R"({"named_metrics":{"running":3}})";
+    RawServer server("HTTP/1.1 500 Error\r\n\r\n" + report);
+    SiteView view;
+    Target engine;
+    engine.mId = TargetId("engine-1");
+    engine.mRole = TargetRole::kEngine;
+    engine.mAddress = server.Address();
+    view.mTargets.emplace(engine.mId, engine);
+    const auto shared = std::make_shared<const SiteView>(view);
+    int reports = 0;
+    const LoadPoller poller(
+      std::chrono::milliseconds(50),
+      [&] { return shared; },
+      [&](const TargetId&, const LoadReport&) { ++reports; });
+    RunEventLoopUntil([&] { return server.Requests() >= 3; });
+    CPPUNIT_ASSERT_EQUAL(0, reports);
+    server.SetAnswer("HTTP/1.1 200 OK\r\n\r\n" + report);
+    RunEventLoopUntil([&] { return reports > 0; });
+  }
+
 private:
   std::unique_ptr<RcuReaderThread> mReader;
 };
