Platform: Read the key-value service and the host list through libcurl

A range, the outcome of a write and a host list were taken from replies whose heads are none: other versions, names with blanks and control bytes, folded lines, lengths that are no numbers, unknown transfer codings.

HttpKeyValueStore and HostListClient use CurlMulti now, whose replies all pass AnswerHead. libcurl tells whether a request may have left, so the body that counted its reads is gone; each call has a connection of its own, so that nothing repeats a write and no late copy of a reply is taken for the next one.

Resets within a write were handled already and keep their test: a part of a JSON document does not parse, and the effect is unknown.

--- a/Source/Platform/HostListClient.cxx
+++ b/Source/Platform/HostListClient.cxx
@@ -1,12 +1,11 @@
 #include "Platform/HostListClient.h"
 
+#include "Core/HttpStatus.h"
 #include "Core/Log.h"
 
 #include <QJsonArray>
 #include <QJsonDocument>
 #include <QJsonObject>
-#include <QNetworkProxy>
-#include <QNetworkReply>
 #include <algorithm>
 #include <iterator>
 #include <map>
@@ -286,18 +285,9 @@
   , mSettings(std::move(aSettings))
   , mOnList(std::move(aOnList))
 {
-  mManager.setProxy(QNetworkProxy::NoProxy);
   Poll();
 }
 
-HostListClient::~HostListClient()
-{
-  if (mReply) {
-    mReply->disconnect();
-    mReply->abort();
-  }
-}
-
 std::optional<Duration>
 HostListClient::Age() const
 {
@@ -320,42 +310,46 @@
 void
 HostListClient::Poll()
 {
-  mReply = mManager.get(QNetworkRequest(mSettings.mUrl));
-  auto* reply = mReply.data();
-  QObject::connect(
-    reply, &QNetworkReply::finished, reply, [this] { OnFinished(); });
-  QObject::connect(reply,
-                   &QNetworkReply::downloadProgress,
-                   reply,
-                   [reply](qint64 aReceived, qint64) {
-                     if (aReceived > kMaxListBytes) {
-                       reply->abort();
-                     }
-                   });
-  // Aborting the reply makes it finish with an error.
-  mDeadline = mScheduler.After(mSettings.mTimeout, [reply] { reply->abort(); });
+  mReply.clear();
+  HttpCall call;
+  call.mUrl = mSettings.mUrl.toString(QUrl::FullyEncoded).toStdString();
+  call.mConnectTimeout =
+    std::chrono::duration_cast<std::chrono::milliseconds>(mSettings.mTimeout);
+  mTransfer = mCurl.Start(
+    call,
+    [this](std::string_view aBytes) { OnData(aBytes); },
+    [this](const TransferEnd& aEnd) { OnFinished(aEnd); });
+  mDeadline = mScheduler.After(mSettings.mTimeout, [this] {
+    Finish(Failure(ErrorCode::kTimeout, "no answer in time"));
+  });
 }
 
 void
-HostListClient::OnFinished()
+HostListClient::OnData(std::string_view aBytes)
 {
-  mDeadline.Cancel();
-  const auto status =
-    mReply->attribute(QNetworkRequest::HttpStatusCodeAttribute).toInt();
-  if (mReply->error() != QNetworkReply::NoError || status != 200) {
+  mReply.append(aBytes.data(), qsizetype(aBytes.size()));
+  if (mReply.size() > kMaxListBytes) {
+    Finish(Failure(ErrorCode::kCorrupt, "the list is too long"));
+  }
+}
+
+void
+HostListClient::OnFinished(const TransferEnd& aEnd)
+{
+  if (aEnd.mKind != TransferEndKind::kReplied || aEnd.mStatus != kStatusOk) {
     Finish(Failure(ErrorCode::kUnavailable,
-                   mReply->errorString().toStdString() + " (status " +
-                     std::to_string(status) + ")"));
+                   aEnd.mMessage + " (status " + std::to_string(aEnd.mStatus) +
+                     ")"));
   } else {
-    Finish(ParseHostList(mReply->readAll()));
+    Finish(ParseHostList(mReply));
   }
 }
 
 void
 HostListClient::Finish(Result<HostList> aResult)
 {
-  mReply->deleteLater();
-  mReply.clear();
+  mDeadline.Cancel();
+  mTransfer.reset();
   ScheduleNext();
   if (!aResult) {
     ++mFailedPolls;
--- a/Source/Platform/HostListClient.h
+++ b/Source/Platform/HostListClient.h
@@ -5,15 +5,12 @@
 #include "Core/Result.h"
 #include "Core/Scheduler.h"
 #include "Core/Settings.h"
+#include "Targets/CurlMulti.h"
 
 #include <QByteArray>
-#include <QNetworkAccessManager>
-#include <QPointer>
 #include <QUrl>
 #include <optional>
 
-class QNetworkReply;
-
 namespace ragwortdeck {
 
 /// What a listed host does.
@@ -98,7 +95,7 @@
                  RandomSource aRandom,
                  HostListSettings aSettings,
                  OnList aOnList);
-  ~HostListClient();
+  ~HostListClient() = default;
   HostListClient(const HostListClient&) = delete;
   HostListClient& operator=(const HostListClient&) = delete;
 
@@ -113,7 +110,8 @@
 private:
   void Poll();
   void ScheduleNext();
-  void OnFinished();
+  void OnData(std::string_view aBytes);
+  void OnFinished(const TransferEnd& aEnd);
   void Finish(Result<HostList> aResult);
   /// Adds the hosts that an odd entry is about as they were last listed. One
   /// without a readable name keeps none, or no host could leave beside it.
@@ -125,8 +123,10 @@
   RandomSource mRandom;
   HostListSettings mSettings;
   OnList mOnList;
-  QNetworkAccessManager mManager;
-  QPointer<QNetworkReply> mReply;
+  CurlMulti mCurl;
+  std::unique_ptr<CurlTransfer> mTransfer;
+  /// Body of the reply that is being read.
+  QByteArray mReply;
   TimerHandle mNext;
   TimerHandle mDeadline;
   std::optional<HostList> mLast;
--- a/Source/Platform/HttpKeyValueStore.cxx
+++ b/Source/Platform/HttpKeyValueStore.cxx
@@ -1,14 +1,11 @@
 #include "Platform/HttpKeyValueStore.h"
 
 #include "Core/ErrorGuard.h"
+#include "Core/HttpStatus.h"
 #include "Core/Log.h"
 #include "Platform/EtcdJson.h"
-#include "Platform/OneShotBody.h"
+#include "Targets/CurlMulti.h"
 
-#include <QNetworkAccessManager>
-#include <QNetworkProxy>
-#include <QNetworkReply>
-#include <QPointer>
 #include <set>
 
 namespace ragwortdeck {
@@ -21,36 +18,20 @@
 // and a day of edit records about 3 MB.
 constexpr qint64 kMaxReplyBytes = 64 << 20;
 
-QNetworkRequest
-MakeRequest(const Endpoint& aEndpoint, const char* aPath, qint64 aSize)
+HttpCall
+MakeCall(const Endpoint& aEndpoint,
+         const char* aPath,
+         const QByteArray& aBody,
+         Duration aConnectTimeout)
 {
-  QNetworkRequest request(
-    QUrl(QString::fromStdString("http://" + ToText(aEndpoint) + aPath)));
-  request.setHeader(QNetworkRequest::ContentTypeHeader, "application/json");
-  request.setHeader(QNetworkRequest::ContentLengthHeader, aSize);
-  request.setAttribute(QNetworkRequest::Http2AllowedAttribute, false);
-  request.setAttribute(QNetworkRequest::DoNotBufferUploadDataAttribute, true);
-  request.setAttribute(QNetworkRequest::RedirectPolicyAttribute,
-                       QNetworkRequest::ManualRedirectPolicy);
-  return request;
-}
-
-int
-StatusOf(const QNetworkReply& aReply)
-{
-  return aReply.attribute(QNetworkRequest::HttpStatusCodeAttribute).toInt();
-}
-
-// Detaches from a reply without further signals.
-void
-Discard(QPointer<QNetworkReply>& aReply)
-{
-  if (aReply) {
-    aReply->disconnect();
-    aReply->abort();
-    aReply->deleteLater();
-    aReply.clear();
-  }
+  HttpCall call;
+  call.mMethod = "POST";
+  call.mUrl = "http://" + ToText(aEndpoint) + aPath;
+  call.mHeaders = { "Content-Type: application/json" };
+  call.mBody = aBody.toStdString();
+  call.mConnectTimeout =
+    std::chrono::duration_cast<std::chrono::milliseconds>(aConnectTimeout);
+  return call;
 }
 
 } // namespace
@@ -89,16 +70,11 @@
     : mScheduler(aScheduler)
     , mSettings(std::move(aSettings))
   {
-    mCallManager.setProxy(QNetworkProxy::NoProxy);
-    mWatchManager.setProxy(QNetworkProxy::NoProxy);
   }
 
   Scheduler& mScheduler;
   KeyValueSettings mSettings;
-  // Watches have a manager of their own, because one manager opens at most 6
-  // connections to an endpoint and a waiting watch holds one.
-  QNetworkAccessManager mCallManager;
-  QNetworkAccessManager mWatchManager;
+  CurlMulti mCurl;
   /// The endpoint that answered last.
   std::size_t mPreferred = 0;
   std::set<std::shared_ptr<Call>> mCalls;
@@ -123,7 +99,7 @@
     , mEndpoint(aShared.mPreferred)
   {
   }
-  ~Call() { Discard(mReply); }
+  ~Call() = default;
   Call(const Call&) = delete;
   Call& operator=(const Call&) = delete;
 
@@ -140,23 +116,14 @@
   void Attempt()
   {
     ++mAttempts;
-    mDevice = new OneShotBody(mBody);
-    auto* reply = mShared.mCallManager.post(
-      MakeRequest(mShared.mSettings.mEndpoints[mEndpoint], mPath, mBody.size()),
-      mDevice);
-    mReply = reply;
-    // The reply refers to the body until it is destroyed itself.
-    mDevice->setParent(reply);
-    QObject::connect(
-      reply, &QNetworkReply::finished, reply, [this] { OnFinished(); });
-    QObject::connect(reply,
-                     &QNetworkReply::downloadProgress,
-                     reply,
-                     [this](qint64 aReceived, qint64) {
-                       if (aReceived > kMaxReplyBytes) {
-                         Fail("the reply is too long");
-                       }
-                     });
+    mReply.clear();
+    mTransfer = mShared.mCurl.Start(
+      MakeCall(mShared.mSettings.mEndpoints[mEndpoint],
+               mPath,
+               mBody,
+               mShared.mSettings.mCallTimeout),
+      [this](std::string_view aBytes) { OnData(aBytes); },
+      [this](const TransferEnd& aEnd) { OnFinished(aEnd); });
     // Leaves time for the other endpoints when this one does not answer.
     mAttemptLimit = mShared.mScheduler.After(mShared.mSettings.mCallTimeout /
                                                static_cast<int>(Endpoints()),
@@ -165,16 +132,19 @@
 
   void EndAttempt()
   {
-    mSent = mSent || (mDevice && mDevice->MayHaveLeft());
-    Discard(mReply);
-    mDevice.clear();
+    mSent = MayHaveLeft();
+    mTransfer.reset();
     mAttemptLimit.Cancel();
   }
 
+  bool MayHaveLeft() const
+  {
+    return mSent || (mTransfer && mTransfer->MayHaveLeft());
+  }
+
   bool MayMoveOn() const
   {
-    const bool left = mSent || (mDevice && mDevice->MayHaveLeft());
-    return (mRepeatable || !left) && mAttempts < Endpoints();
+    return (mRepeatable || !MayHaveLeft()) && mAttempts < Endpoints();
   }
 
   void MoveOn()
@@ -194,25 +164,31 @@
 
   void OnDeadline() { Fail("no reply in time"); }
 
-  void OnFinished()
+  void OnData(std::string_view aBytes)
+  {
+    mReply.append(aBytes.data(), qsizetype(aBytes.size()));
+    if (mReply.size() > kMaxReplyBytes) {
+      Fail("the reply is too long");
+    }
+  }
+
+  void OnFinished(const TransferEnd& aEnd)
   {
-    const int status = StatusOf(*mReply);
-    const auto body = mReply->readAll();
-    const bool answered = mReply->error() == QNetworkReply::NoError;
-    const auto text = mReply->errorString().toStdString();
-    if (status == 200 && answered) {
+    const bool answered = aEnd.mKind == TransferEndKind::kReplied;
+    if (answered && aEnd.mStatus == kStatusOk) {
       mShared.mPreferred = mEndpoint;
       EndAttempt();
-      Finish(body);
+      Finish(mReply);
       return;
     }
-    if (status >= 300 && EtcdJson::ProvesNotApplied(status, body)) {
+    if (answered && aEnd.mStatus >= 300 &&
+        EtcdJson::ProvesNotApplied(aEnd.mStatus, mReply)) {
       // Says nothing about attempts before this one.
       const auto effect = mSent ? KeyValueError::Effect::kUnknown
                                 : KeyValueError::Effect::kNotApplied;
       EndAttempt();
       Finish(
-        Failure(KeyValueError{ effect, EtcdJson::ErrorText(body), false }));
+        Failure(KeyValueError{ effect, EtcdJson::ErrorText(mReply), false }));
       return;
     }
     if (MayMoveOn()) {
@@ -220,7 +196,7 @@
       MoveOn();
       return;
     }
-    Fail(text);
+    Fail(answered ? "status " + std::to_string(aEnd.mStatus) : aEnd.mMessage);
   }
 
   void Fail(const std::string& aMessage)
@@ -249,8 +225,9 @@
   std::size_t mAttempts = 0;
   /// True once an ended attempt may have left.
   bool mSent = false;
-  QPointer<OneShotBody> mDevice;
-  QPointer<QNetworkReply> mReply;
+  /// Body of the reply to the current attempt.
+  QByteArray mReply;
+  std::unique_ptr<CurlTransfer> mTransfer;
   TimerHandle mDeadline;
   TimerHandle mAttemptLimit;
 };
@@ -276,26 +253,24 @@
 
   void Open()
   {
-    Discard(mReply);
     mBuffer.clear();
     mCreated = false;
-    const auto body = EtcdJson::WatchRequest(mPrefix, mNextRevision);
-    auto* reply = mShared->mWatchManager.post(
-      MakeRequest(
-        mShared->mSettings.mEndpoints[mEndpoint], "/v3/watch", body.size()),
-      body);
-    mReply = reply;
     const std::weak_ptr<WatchStream> weak = shared_from_this();
-    QObject::connect(reply, &QNetworkReply::readyRead, reply, [weak] {
-      if (const auto self = weak.lock()) {
-        self->OnReadyRead();
-      }
-    });
-    QObject::connect(reply, &QNetworkReply::finished, reply, [weak] {
-      if (const auto self = weak.lock()) {
-        self->OnFinished();
-      }
-    });
+    mTransfer = mShared->mCurl.Start(
+      MakeCall(mShared->mSettings.mEndpoints[mEndpoint],
+               "/v3/watch",
+               EtcdJson::WatchRequest(mPrefix, mNextRevision),
+               mShared->mSettings.mCallTimeout),
+      [weak](std::string_view aBytes) {
+        if (const auto self = weak.lock()) {
+          self->OnData(aBytes);
+        }
+      },
+      [weak](const TransferEnd& aEnd) {
+        if (const auto self = weak.lock()) {
+          self->OnFinished(aEnd);
+        }
+      });
     Arm();
   }
 
@@ -303,7 +278,7 @@
   {
     mClosed = true;
     mIdle.Cancel();
-    Discard(mReply);
+    mTransfer.reset();
   }
 
 private:
@@ -333,14 +308,23 @@
     Open();
   }
 
-  void OnReadyRead()
+  void OnData(std::string_view aBytes)
   {
+    mBuffer.append(aBytes.data(), qsizetype(aBytes.size()));
     // An error reply is not a stream of messages; OnFinished reports it.
-    if (StatusOf(*mReply) != 200) {
-      return;
+    if (mTransfer->Status() == kStatusOk) {
+      Arm();
+      TakeLines();
     }
-    mBuffer += mReply->readAll();
-    Arm();
+    if (!mClosed && mBuffer.size() > kMaxReplyBytes) {
+      Fail({ KeyValueError::Effect::kNotApplied,
+             "a watch message is too long",
+             false });
+    }
+  }
+
+  void TakeLines()
+  {
     qsizetype start = 0;
     while (!mClosed) {
       const auto end = mBuffer.indexOf('\n', start);
@@ -351,11 +335,6 @@
       start = end + 1;
     }
     mBuffer.remove(0, start);
-    if (!mClosed && mBuffer.size() > kMaxReplyBytes) {
-      Fail({ KeyValueError::Effect::kNotApplied,
-             "a watch message is too long",
-             false });
-    }
   }
 
   void OnLine(const QByteArray& aLine)
@@ -408,15 +387,14 @@
     }
   }
 
-  void OnFinished()
+  void OnFinished(const TransferEnd& aEnd)
   {
     if (mClosed) {
       return;
     }
-    const auto status = StatusOf(*mReply);
-    const auto text = status != 0 && status != 200
-                        ? EtcdJson::ErrorText(mReply->readAll())
-                        : mReply->errorString().toStdString();
+    const bool isError =
+      aEnd.mKind == TransferEndKind::kReplied && aEnd.mStatus != kStatusOk;
+    const auto text = isError ? EtcdJson::ErrorText(mBuffer) : aEnd.mMessage;
     Fail({ KeyValueError::Effect::kNotApplied,
            "the watch ended: " + text,
            false });
@@ -438,7 +416,7 @@
   bool mCreated = false;
   bool mClosed = false;
   QByteArray mBuffer;
-  QPointer<QNetworkReply> mReply;
+  std::unique_ptr<CurlTransfer> mTransfer;
   TimerHandle mIdle;
 };
 
--- a/Source/Platform/HttpKeyValueStore.h
+++ b/Source/Platform/HttpKeyValueStore.h
@@ -6,8 +6,6 @@
 
 #include <QByteArray>
 
-class QNetworkAccessManager;
-
 namespace ragwortdeck {
 
 /// \brief How to reach the key-value service.
