--- a/Source/Targets/CurlMulti.cxx
+++ b/Source/Targets/CurlMulti.cxx
@@ -3,6 +3,7 @@
 #include "Core/AnswerHead.h"
 #include "Core/ErrorGuard.h"
 
+#include <algorithm>
 #include <array>
 #include <atomic>
 #include <cerrno>
@@ -70,6 +71,16 @@
          aCode == CURLE_WEIRD_SERVER_REPLY;
 }
 
+/// The URL of a call without its query, which is the caller's.
+std::string
+LoggedUrl(CURL* aEasy)
+{
+  const char* url = nullptr;
+  curl_easy_getinfo(aEasy, CURLINFO_EFFECTIVE_URL, &url);
+  const std::string text(url ? url : "");
+  return text.substr(0, std::min(text.find('?'), kMaxLoggedUrl));
+}
+
 std::atomic<std::uint64_t> sRefused{ 0 };
 
 } // namespace
@@ -371,10 +382,7 @@
       std::string("reply refused: ") +
       (fault != HeadFault::kNone ? ToText(fault) : curl_easy_strerror(aCode));
     ++sRefused;
-    const char* url = nullptr;
-    curl_easy_getinfo(aState.mEasy, CURLINFO_EFFECTIVE_URL, &url);
-    kLog.Warning(end.mMessage + ", from " +
-                 std::string(url ? url : "").substr(0, kMaxLoggedUrl));
+    kLog.Warning(end.mMessage + ", from " + LoggedUrl(aState.mEasy));
   } else if (aCode != CURLE_OK) {
     end.mMessage = curl_easy_strerror(aCode);
   } else if (!aState.HasHead()) {
--- a/Tests/Entry/MalformedAnswersTest.cxx
+++ b/Tests/Entry/MalformedAnswersTest.cxx
@@ -224,18 +224,7 @@
       auto& target = world.AddTarget("t1");
       target.AddScript(Sends(BytesOf(answer, "X-First: field\r\n", "{}")));
       world.Start();
-      std::optional<bool> succeeded;
-      world.Context().Spawn(
-        "call",
-        [](EntryContext& aContext,
-           Endpoint aTo,
-           std::optional<bool>& aSucceeded) -> Task<void> {
-          const auto reply = co_await aContext.mCalls.Call(
-            aTo, aContext.mCodec.ReportCall(), Milliseconds(5000));
-          aSucceeded = bool(reply);
-        }(world.Context(), target.Describe("s").mEndpoint, succeeded));
-      world.RunUntil([&] { return succeeded.has_value(); });
-      if (succeeded.value_or(true)) {
+      if (world.GetsReply(target)) {
         taken += answer.mName + std::string("; ");
       }
     }
--- a/Tests/Entry/RelayWorld.cxx
+++ b/Tests/Entry/RelayWorld.cxx
@@ -278,6 +278,22 @@
   }
 }
 
+bool
+RelayWorld::GetsReply(const ScriptedTarget& aTarget)
+{
+  std::optional<bool> succeeded;
+  mEntry->Spawn("call",
+                [](EntryContext& aContext,
+                   Endpoint aTo,
+                   std::optional<bool>& aSucceeded) -> Task<void> {
+                  const auto reply = co_await aContext.mCalls.Call(
+                    aTo, aContext.mCodec.ReportCall(), Milliseconds(5000));
+                  aSucceeded = bool(reply);
+                }(*mEntry, aTarget.Describe("s").mEndpoint, succeeded));
+  RunUntil([&] { return succeeded.has_value(); });
+  return succeeded.value_or(false);
+}
+
 std::string
 RelayWorld::Reply(tcp::socket& aSocket, const std::string& aUntil)
 {
--- a/Tests/Entry/RelayWorld.h
+++ b/Tests/Entry/RelayWorld.h
@@ -77,6 +77,8 @@
   /// Runs the event loop until aDone returns true; fails the test when that
   /// takes too long.
   void RunUntil(const std::function<bool()>& aDone);
+  /// Whether a call to aTarget, made as those to the store, gets a reply.
+  bool GetsReply(const ScriptedTarget& aTarget);
   /// Starts to move the only stream to the target aTo; its run may stop at any
   /// time for the last copy.
   void StartMove(const std::string& aTo);
--- a/Tests/Platform/BrokenRepliesTest.cxx
+++ b/Tests/Platform/BrokenRepliesTest.cxx
@@ -13,8 +13,6 @@
 
 namespace {
 
-using Ending = RawServer::Ending;
-
 const QByteArray kRange = R"({"header":{"revision":"5"},"kvs":[]})";
 const QByteArray kPut =
   R"({"header":{"revision":"5"},"succeeded":true,"responses":[{}]})";
@@ -89,21 +87,12 @@
   /// reply was cut off.
   void TestResetUploads()
   {
-    constexpr std::size_t kLongUpload = 3'000'000;
-    constexpr std::size_t kShortUpload = 1000;
     RawServer server("HTTP/1.1 200 OK\r\n\r\n" + kPut.chopped(1));
-    for (const auto& [name, ending, bytes] :
-         { std::tuple{ "at once", Ending::kResetAtOnce, kLongUpload },
-           std::tuple{ "within the upload", Ending::kResetLater, kLongUpload },
-           std::tuple{
-             "after the upload", Ending::kResetAfterUpload, kLongUpload },
-           std::tuple{
-             "at once, request sent", Ending::kResetAtOnce, kShortUpload },
-           std::tuple{
-             "later, request sent", Ending::kResetLater, kShortUpload } }) {
-      Section(name, [&, e = ending, n = bytes] {
-        server.SetEnding(e);
-        CPPUNIT_ASSERT(Put(server, n) == KeyValueError::Effect::kUnknown);
+    for (const auto& reset : ResetCases()) {
+      Section(reset.mName, [&] {
+        server.SetEnding(reset.mEnding);
+        CPPUNIT_ASSERT(Put(server, reset.mUploadBytes) ==
+                       KeyValueError::Effect::kUnknown);
       });
     }
   }
--- a/Tests/Support/RawServer.cxx
+++ b/Tests/Support/RawServer.cxx
@@ -114,6 +114,22 @@
   }
 }
 
+const std::vector<ResetCase>&
+ResetCases()
+{
+  using Ending = RawServer::Ending;
+  constexpr std::size_t kLong = 4'000'000;
+  constexpr std::size_t kShort = 2'000;
+  static const std::vector<ResetCase> sCases = {
+    { "at once", Ending::kResetAtOnce, kLong },
+    { "within the upload", Ending::kResetLater, kLong },
+    { "after the upload", Ending::kResetAfterUpload, kLong },
+    { "at once, request sent", Ending::kResetAtOnce, kShort },
+    { "later, request sent", Ending::kResetLater, kShort },
+  };
+  return sCases;
+}
+
 QByteArray
 MalformedAnswer::Bytes(const QByteArray& aFields, const QByteArray& aBody) const
 {
--- a/Tests/Support/RawServer.h
+++ b/Tests/Support/RawServer.h
@@ -46,6 +46,19 @@
   int mRequests = 0;
 };
 
+/// \brief When a connection is reset that carries an upload.
+struct ResetCase
+{
+  const char* mName;
+  RawServer::Ending mEnding;
+  /// More than the kernel buffers, or so little that all of it has been
+  /// written before the reset.
+  std::size_t mUploadBytes;
+};
+
+const std::vector<ResetCase>&
+ResetCases();
+
 /// \brief An answer that is none, and what is wrong with it.
 struct MalformedAnswer
 {
--- a/Tests/Targets/BrokenAnswersTest.cxx
+++ b/Tests/Targets/BrokenAnswersTest.cxx
@@ -12,9 +12,8 @@
 
 using Ending = RawServer::Ending;
 
-/// More than the kernel buffers between the two sides.
-constexpr std::size_t kLongUpload = 4'000'000;
-constexpr std::size_t kShortUpload = 20'000;
+/// Fits into the buffers of the kernel.
+constexpr std::size_t kShortUpload = 2'000;
 
 struct Reply
 {
@@ -76,18 +75,10 @@
   {
     CurlMulti curl;
     RawServer server("HTTP/1.1 200 OK\r\n\r\npart of the body");
-    for (const auto& [name, ending, bytes] :
-         { std::tuple{ "at once", Ending::kResetAtOnce, kLongUpload },
-           std::tuple{ "within the upload", Ending::kResetLater, kLongUpload },
-           std::tuple{
-             "after the upload", Ending::kResetAfterUpload, kLongUpload },
-           std::tuple{
-             "at once, request sent", Ending::kResetAtOnce, kShortUpload },
-           std::tuple{
-             "later, request sent", Ending::kResetLater, kShortUpload } }) {
-      Section(name, [&, e = ending, n = bytes] {
-        server.SetEnding(e);
-        const auto reply = Post(curl, server, n);
+    for (const auto& reset : ResetCases()) {
+      Section(reset.mName, [&] {
+        server.SetEnding(reset.mEnding);
+        const auto reply = Post(curl, server, reset.mUploadBytes);
         CPPUNIT_ASSERT_MESSAGE(reply.mBody,
                                reply.mEnd.mKind == TransferEndKind::kDropped);
       });
