--- a/Tests/Filters/BrokenAnswersTest.cxx
+++ b/Tests/Filters/BrokenAnswersTest.cxx
@@ -124,7 +124,7 @@
     engine.mRole = TargetRole::kEngine;
     engine.mAddress = server.Address();
     view.mTargets.emplace(engine.mId, engine);
-    const auto shared = std::make_shared<const SiteView>(view);
+    auto shared = std::make_shared<const SiteView>(view);
     int reports = 0;
     const LoadPoller poller(
       std::chrono::milliseconds(50),
