--- a/review/11/case.py
+++ b/review/11/case.py
@@ -1,7 +1,6 @@
 """A key that is taken away after the store came back from a copy."""
 
 import asyncio
-import json
 import pathlib
 import sys
 import time
@@ -15,36 +14,11 @@
 
 
 def desired_state(version, keys):
-    """One host, one route that asks for a key."""
-    return json.dumps(
-        {
-            "version": version,
-            "routes": [
-                {
-                    "name": "order",
-                    "host": "kiln.example",
-                    "path_prefix": "/order/",
-                    "service": "haat-app",
-                    "kind": "unsafe",
-                    "timeout_ms": 2000,
-                    "goal_ms": 300,
-                    "max_attempts": 1,
-                    "priority": 2,
-                }
-            ],
-            "services": [{"name": "haat-app", "max_connections": 248}],
-            "limits": {
-                "max_header_bytes": 16384,
-                "max_body_bytes": 4194304,
-                "header_timeout_ms": 5000,
-                "idle_timeout_ms": 30000,
-            },
-            "tenants": [
-                {"name": "nadia-bakers", "api_keys": keys},
-                {"name": "hooghly-bakers", "api_keys": ["steady-key"]},
-            ],
-        }
-    ).encode()
+    return standins.desired_state(
+        version,
+        [standins.route("order", "haat-app", "unsafe")],
+        {"nadia-bakers": keys, "hooghly-bakers": ["steady-key"]},
+    )
 
 
 async def case(net, record, hosts):
--- a/review/standins3.py
+++ b/review/standins3.py
@@ -37,6 +37,7 @@
     "budget_window_s": 10,
 }
 CONTACT_S = 3.0
+HOST_NAME = "kiln.example"
 # A script runs for 120 seconds at most.
 LIMIT_S = 110
 HEARTBEAT_S = 1.2
@@ -256,8 +257,18 @@
         self.zone = zone
         self.born = int(time.time() * 1000)
         self.state = "ready"
+        self.cold_ms = 0
+        self.work_s = 0.01
         self.runs = []
         self.server = None
+        self.writers = set()
+
+    def end(self):
+        """Ends: what still runs is cut off."""
+        self.server.close()
+        for writer in list(self.writers):
+            wire.close(writer, reset=True)
+        self.record.write("server ended", server=self.id)
 
     async def start(self):
         self.server = await asyncio.start_server(self.serve, self.address, SERVER)
@@ -271,13 +282,14 @@
             "version": "v1",
             "slots": 6,
             "state": self.state,
-            "cold_remaining_ms": 0,
+            "cold_remaining_ms": self.cold_ms,
             "sequence": 1,
             "born": self.born,
         }
         self.store.put(f"servers/{self.id}", json.dumps(entry).encode())
 
     async def serve(self, reader, writer):
+        self.writers.add(writer)
         try:
             while True:
                 first, headers = await wire.read_head(reader)
@@ -286,6 +298,7 @@
                 await wire.drain(writer)
         except (wire.Broken, ValueError, asyncio.CancelledError):
             pass  # The host closed the connection, or the case ends.
+        self.writers.discard(writer)
         wire.close(writer)
 
     async def answer(self, first, headers):
@@ -303,7 +316,7 @@
             service=self.service,
             tenant=headers.get("tenant", ""),
         )
-        await asyncio.sleep(0.01)
+        await asyncio.sleep(self.work_s)
         body = f"{self.service} ran {attempt}\n".encode()
         return wire.message(
             "HTTP/1.1 200 OK",
@@ -312,6 +325,41 @@
         )
 
 
+def route(name, service, kind, **more):
+    """A route of a desired state, below /NAME/."""
+    return {
+        "name": name,
+        "host": HOST_NAME,
+        "path_prefix": f"/{name}/",
+        "service": service,
+        "kind": kind,
+        "timeout_ms": 2000,
+        "goal_ms": 300,
+        "max_attempts": 1 if kind == "unsafe" else 2,
+        "priority": 2,
+        **more,
+    }
+
+
+def desired_state(version, routes, tenants):
+    """tenants: the keys of each one by its name."""
+    names = sorted({it["service"] for it in routes})
+    return json.dumps(
+        {
+            "version": version,
+            "routes": routes,
+            "services": [{"name": it, "max_connections": 248} for it in names],
+            "limits": {
+                "max_header_bytes": 16384,
+                "max_body_bytes": 4194304,
+                "header_timeout_ms": 5000,
+                "idle_timeout_ms": 30000,
+            },
+            "tenants": [{"name": it, "api_keys": tenants[it]} for it in tenants],
+        }
+    ).encode()
+
+
 def render(template, fields):
     """Fills in the placeholders of a settings template."""
 
@@ -396,7 +444,7 @@
         attempt = f"{self.number:016x}"
         lines = [
             f"{method} {path} HTTP/1.1",
-            "Host: kiln.example",
+            f"Host: {HOST_NAME}",
             f"Attempt-Id: {attempt}",
             "Deadline-Ms: 4000",
             "Content-Length: 0",
