Entry: Read the era of the store, and log and count its changes

The adapter reads the header; EraTracker keeps the latest era. What is compared with what is unchanged so far.

--- a/Source/Entry/EntryContext.cxx
+++ b/Source/Entry/EntryContext.cxx
@@ -80,6 +80,30 @@
   return mTargets.IsKnown() && mTable.AcceptsKeyedRequests(Now());
 }
 
+EraTracker::Outcome
+EntryContext::ObserveEra(StoreEra aEra, const std::string& aFrom)
+{
+  const auto before = mEra.Latest();
+  const auto outcome = mEra.Observe(aEra);
+  if (outcome != EraTracker::Outcome::kBegan) {
+    return outcome;
+  }
+  if (before.IsKnown()) {
+    mMetrics.Count("entry_store_returns_total");
+  }
+  const auto table = mTable.Table();
+  mLog.Write("store_era_changed",
+             { { "era", aEra.mNumber },
+               { "era_before", before.mNumber },
+               { "from", aFrom },
+               { "table_version", table ? table->Version() : 0 },
+               { "list_revision", mTargets.Revision() } });
+  if (mOnEraBegan) {
+    mOnEraBegan();
+  }
+  return outcome;
+}
+
 void
 EntryContext::Spawn(const char* aName, Task<void> aTask)
 {
--- a/Source/Entry/EntryContext.h
+++ b/Source/Entry/EntryContext.h
@@ -10,6 +10,7 @@
 #include "Entry/PlatformCodec.h"
 #include "Entry/TargetPool.h"
 #include "Serving/CachedTable.h"
+#include "Serving/EraTracker.h"
 #include "Serving/FleetLoad.h"
 #include "Serving/ServerChoice.h"
 #include "Serving/TargetDirectory.h"
@@ -72,6 +73,10 @@
   /// Ends all requests, as at their deadline. Each gets an answer.
   void FinishAll();
 
+  /// Takes the era of the store that came from aFrom. What came with it may be
+  /// used unless it is outdated.
+  EraTracker::Outcome ObserveEra(StoreEra aEra, const std::string& aFrom);
+
   /// Whether the target of aEntry accepts new requests of this host.
   bool IsOpen(const TargetDirectory::Entry& aEntry) const;
   /// The targets of a service that accept new requests.
@@ -116,6 +121,7 @@
   RandomSource mRandom;
   TargetPool mPool;
   CallClient mCalls;
+  EraTracker mEra;
   CachedTable mTable;
   TargetDirectory mTargets;
   FleetLoad mLoad;
@@ -135,6 +141,9 @@
   /// Running streams by their id, unique on this host.
   std::map<std::uint64_t, StreamRun*> mStreams;
   std::uint64_t mNextRun = 1;
+  /// Called when a later era of the store has begun, before anything that came
+  /// with it is used.
+  std::function<void()> mOnEraBegan;
   /// Called with a target that is leaving since it said so in an answer.
   std::function<void(const Target&)> mOnSaidLeaving;
   /// Returns the number of known hosts, including this one.
--- a/Source/Entry/HostDiscovery.cxx
+++ b/Source/Entry/HostDiscovery.cxx
@@ -112,7 +112,7 @@
     if (!body) {
       co_return std::nullopt;
     }
-    auto page = mContext.mCodec.ReadHosts(body.value());
+    auto page = mContext.mCodec.ReadHosts(body.value().mBody);
     if (!page) {
       mContext.mLog.Write("hosts_unreadable",
                           { { "why", page.error().mMessage } });
@@ -134,7 +134,7 @@
   if (!lease) {
     co_return;
   }
-  auto id = codec.ReadLease(lease.value());
+  auto id = codec.ReadLease(lease.value().mBody);
   if (!id) {
     mContext.mLog.Write("lease_unreadable", { { "why", id.error().mMessage } });
     co_return;
--- a/Source/Entry/PlatformCodec.h
+++ b/Source/Entry/PlatformCodec.h
@@ -2,6 +2,7 @@
 
 #include "Core/Result.h"
 #include "Serving/ServingTable.h"
+#include "Serving/StoreEra.h"
 #include "Serving/TargetList.h"
 
 #include <boost/beast/http/fields.hpp>
@@ -160,6 +161,10 @@
   /// Path of the readiness probe: whether this host accepts new connections.
   virtual std::string ReadyPath() const = 0;
 
+  /// Reads the era from the header of an answer of the store: unknown if it is
+  /// not stated, an error if it is malformed.
+  virtual Result<StoreEra> ReadStoreEra(const HttpFields& aFields) const = 0;
+
   virtual HttpCall TableRead() const = 0;
   virtual Result<StoreValue> ReadStoreValue(const std::string& aBody) const = 0;
   virtual Result<ServingTable> ReadTable(const std::string& aValue) const = 0;
--- a/Source/Entry/SiteFeed.cxx
+++ b/Source/Entry/SiteFeed.cxx
@@ -221,7 +221,7 @@
                      body.error().mMessage);
     co_return false;
   }
-  auto value = mContext.mCodec.ReadStoreValue(body.value());
+  auto value = mContext.mCodec.ReadStoreValue(body.value().mBody);
   if (!value) {
     RecordStoreState(false, value.error().mMessage);
     co_return false;
@@ -342,7 +342,7 @@
   if (!body) {
     co_return Failure(body.error().mCode, body.error().mMessage);
   }
-  auto changes = mContext.mCodec.ReadTargetChanges(body.value());
+  auto changes = mContext.mCodec.ReadTargetChanges(body.value().mBody);
   if (!changes) {
     mContext.mLog.Write("changes_unreadable",
                         { { "why", changes.error().mMessage } });
@@ -377,7 +377,7 @@
       RecordStoreState(false, body.error().mMessage);
       co_return false;
     }
-    auto page = mContext.mCodec.ReadTargets(body.value());
+    auto page = mContext.mCodec.ReadTargets(body.value().mBody);
     if (!page) {
       RecordStoreState(false, page.error().mMessage);
       co_return false;
--- a/Source/Entry/TargetPool.cxx
+++ b/Source/Entry/TargetPool.cxx
@@ -98,6 +98,12 @@
   }
 }
 
+void
+TargetPool::CloseIdle(const Endpoint& aEndpoint)
+{
+  mIdle.erase(aEndpoint);
+}
+
 void
 TargetPool::Sweep()
 {
--- a/Source/Entry/TargetPool.h
+++ b/Source/Entry/TargetPool.h
@@ -48,6 +48,8 @@
   {
     mOnRefused = std::move(aOnRefused);
   }
+  /// Closes the idle connections to aEndpoint.
+  void CloseIdle(const Endpoint& aEndpoint);
   /// Drops connections whose idle time is over or that the target closed.
   void Sweep();
   /// The account to which the connections are charged.
--- /dev/null
+++ b/Source/Serving/StoreEra.h
@@ -0,0 +1,22 @@
+#pragma once
+
+#include <compare>
+#include <cstdint>
+#include <msgpack.hpp>
+
+namespace ragwortdeck {
+
+/// \brief Number of times that the store has come back from an older copy of
+/// itself, as it states it. Unknown comes before all others.
+struct StoreEra
+{
+  static constexpr std::int64_t kUnknown = -1;
+
+  std::int64_t mNumber = kUnknown;
+
+  bool IsKnown() const { return mNumber != kUnknown; }
+  auto operator<=>(const StoreEra&) const = default;
+  MSGPACK_DEFINE_ARRAY(mNumber)
+};
+
+} // namespace ragwortdeck
--- /dev/null
+++ b/Source/Serving/TableVersion.h
@@ -0,0 +1,19 @@
+#pragma once
+
+#include <compare>
+#include <cstdint>
+#include <msgpack.hpp>
+
+namespace ragwortdeck {
+
+/// \brief The version that the operator gives to a table. It rises with each
+/// change, also when the store comes back from an older copy.
+struct TableVersion
+{
+  std::int64_t mNumber = 0;
+
+  auto operator<=>(const TableVersion&) const = default;
+  MSGPACK_DEFINE_ARRAY(mNumber)
+};
+
+} // namespace ragwortdeck
--- a/Tests/FleetCodec/FleetCodecTest.cxx
+++ b/Tests/FleetCodec/FleetCodecTest.cxx
@@ -75,6 +75,7 @@
   CPPUNIT_TEST(TestRequests);
   CPPUNIT_TEST(TestResponses);
   CPPUNIT_TEST(TestCalls);
+  CPPUNIT_TEST(TestStoreEra);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -674,6 +675,46 @@
       CPPUNIT_ASSERT(!codec.ReadStoreValue("{\"value\":1}"));
     });
   }
+
+  void TestStoreEra()
+  {
+    const FleetCodec codec;
+    const auto read = [&](const std::vector<std::string>& aValues) {
+      HttpFields fields;
+      for (const auto& value : aValues) {
+        fields.insert("Store-Era", value);
+      }
+      return codec.ReadStoreEra(fields);
+    };
+    Section("a decimal number is the era", [&] {
+      CPPUNIT_ASSERT(read({ "0" }).value() == StoreEra{ 0 });
+      CPPUNIT_ASSERT(read({ "17" }).value() == StoreEra{ 17 });
+      CPPUNIT_ASSERT(read({ "1000000000000000" }).value() ==
+                     StoreEra{ 1'000'000'000'000'000 });
+    });
+    Section("a store that states none has an unknown one",
+            [&] { CPPUNIT_ASSERT(!read({}).value().IsKnown()); });
+    Section("anything else is malformed", [&] {
+      for (const auto* text : { "",
+                                "x",
+                                "-1",
+                                "-0",
+                                "+2",
+                                "2.0",
+                                "2e3",
+                                "0x2",
+                                "2, 3",
+                                "1000000000000001",
+                                "99999999999999999999999" }) {
+        CPPUNIT_ASSERT_MESSAGE(text, !read({ text }));
+      }
+      CPPUNIT_ASSERT(!read({ "2", "2" }));
+    });
+    Section("an error repeats only the beginning of it", [&] {
+      CPPUNIT_ASSERT(read({ std::string(5000, 'x') }).error().mMessage.size() <
+                     100);
+    });
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(FleetCodecTest);
