Entry, Serving: Take the newer table by the operator's version

Cause: a table was newer if its revision in the store was higher. After the return revisions are given out again: a new table with the revision of a lost one counted as known, and each read confirmed the old one; one with a lower revision was ignored, and no read confirmed the old one.

The version, which only rises, decides now: in CachedTable, and so for reads, messages of other hosts, their parts and their requests. A read that finds this version or an older one confirms the table, since a copy may be older. A proof of another host counts if its era is the latest. Where in the store the table was read, as era and revision, only tells whether it has to be parsed again. Hosts exchange the version and the era in new fields; those with the revision stay empty, so hosts of earlier builds neither obey nor are obeyed.

Tests that named revisions of tables name versions; what they check is the same.

--- a/Source/Entry/CallerSession.cxx
+++ b/Source/Entry/CallerSession.cxx
@@ -647,7 +647,7 @@
   mContext.mMetrics.Observe("entry_request_ms", took);
   const auto proven = mContext.mTable.ConfirmedAt();
   const auto current = mContext.mTable.Table();
-  const auto currentVersion = current ? current->Version() : 0;
+  const auto currentVersion = current ? current->Version().mNumber : 0;
   mContext.mLog.Write(
     "request",
     { { "id", aRequest.mCallerHeaders.mId },
@@ -668,7 +668,7 @@
       { "first_event_ms", aRequest.mFirstEventMs },
       { "took_ms", std::chrono::duration_cast<Milliseconds>(took).count() },
       { "table_version",
-        aRequest.mTable ? aRequest.mTable->Version() : currentVersion },
+        aRequest.mTable ? aRequest.mTable->Version().mNumber : currentVersion },
       { "table_version_at_end", currentVersion },
       { "table_age_ms",
         proven ? std::chrono::duration_cast<Milliseconds>(now - *proven).count()
--- a/Source/Entry/EntryContext.cxx
+++ b/Source/Entry/EntryContext.cxx
@@ -91,12 +91,11 @@
   if (before.IsKnown()) {
     mMetrics.Count("entry_store_returns_total");
   }
-  const auto table = mTable.Table();
   mLog.Write("store_era_changed",
              { { "era", aEra.mNumber },
                { "era_before", before.mNumber },
                { "from", aFrom },
-               { "table_version", table ? table->Version() : 0 },
+               { "table_version", mTable.VersionNumber() },
                { "list_revision", mTargets.Revision() } });
   if (mOnEraBegan) {
     mOnEraBegan();
--- a/Source/Entry/EntryProcess.cxx
+++ b/Source/Entry/EntryProcess.cxx
@@ -228,7 +228,7 @@
         mWasReady = ready;
         mLog.Write(ready ? "ready" : "not_ready",
                    { { "stopping", mContext.mStopping },
-                     { "table_revision", mContext.mTable.Revision() },
+                     { "table_version", mContext.mTable.VersionNumber() },
                      { "list_revision", mContext.mTargets.Revision() } });
       }
       response.result(ready ? kStatusOk : kStatusUnavailable);
--- a/Source/Entry/HostMessage.h
+++ b/Source/Entry/HostMessage.h
@@ -49,13 +49,12 @@
   /// Bandwidth of the sender's network link; 0 when not known.
   int mLinkMbps = 0;
 
-  /// The revision of the sender's table; 0 when it has none, or when the
-  /// message carries only loads. The same holds for the revision of the target
-  /// list.
-  std::int64_t mTableRevision = 0;
-  /// A time on the receiver's clock at which mTableRevision was current: the
+  /// Used only by hosts of builds before mTableVersion; left at 0.
+  std::int64_t mFormerTableRevision = 0;
+  /// A time on the receiver's clock at which mTableVersion was current: the
   /// mSentAt of the newest message from the receiver that the sender had
-  /// received before it began a read of the store that found this revision.
+  /// received before it began a read of the store, in mStoreEra, that found
+  /// nothing newer.
   std::int64_t mProvenAt = 0;
   /// The receiver's incarnation that mProvenAt belongs to.
   std::uint64_t mProvenIncarnation = 0;
@@ -117,12 +116,17 @@
   std::map<std::string, std::int64_t> mLeavingBorn;
   /// What the sender knows of crashes of engines.
   CrashReport mCrashReport;
+  /// The latest era of the store that the sender knows of.
+  StoreEra mStoreEra;
+  /// Version of the sender's table; nothing when it has none, when the message
+  /// carries only loads, or from hosts of builds without this field.
+  std::optional<TableVersion> mTableVersion;
 
   MSGPACK_DEFINE_ARRAY(mHost,
                        mIncarnation,
                        mSentAt,
                        mLinkMbps,
-                       mTableRevision,
+                       mFormerTableRevision,
                        mProvenAt,
                        mProvenIncarnation,
                        mTableRead,
@@ -150,7 +154,9 @@
                        mMerged,
                        mAllCopied,
                        mLeavingBorn,
-                       mCrashReport)
+                       mCrashReport,
+                       mStoreEra,
+                       mTableVersion)
 };
 
 } // namespace ragwortdeck
--- a/Source/Entry/SiteFeed.cxx
+++ b/Source/Entry/SiteFeed.cxx
@@ -137,6 +137,10 @@
     aMessage.mRequestsTable = !mContext.mTable.Table();
     aMessage.mRequestsList = !mContext.mTargets.IsKnown();
   };
+  mContext.mOnEraBegan = [this] {
+    // They come from reads of an earlier era.
+    mProofs.clear();
+  };
   mContext.mCrashWatch.mOnReport = [this](const CrashReport& aReport,
                                           bool aHasNews) {
     mExchange.Broadcast(
@@ -178,7 +182,8 @@
                                    : "entry_store_lost_total");
   mContext.mLog.Write(aReached ? "store_regained" : "store_lost",
                       { { "why", aReason },
-                        { "table_revision", mContext.mTable.Revision() },
+                        { "era", mContext.mEra.Latest().mNumber },
+                        { "table_version", mContext.mTable.VersionNumber() },
                         { "list_revision", mContext.mTargets.Revision() } });
 }
 
@@ -215,26 +220,31 @@
       proofs[host] = { peer.mIncarnation, peer.mSentAt };
     }
   }
-  auto body = co_await mStore.Call(mContext.mCodec.TableRead());
-  if (!body) {
-    RecordStoreState(body.error().mCode == ErrorCode::kNotFound,
-                     body.error().mMessage);
+  auto reply = co_await mStore.Call(mContext.mCodec.TableRead());
+  if (!reply) {
+    RecordStoreState(reply.error().mCode == ErrorCode::kNotFound,
+                     reply.error().mMessage);
     co_return false;
   }
-  auto value = mContext.mCodec.ReadStoreValue(body.value().mBody);
+  auto value = mContext.mCodec.ReadStoreValue(reply.value().mBody);
   if (!value) {
     RecordStoreState(false, value.error().mMessage);
     co_return false;
   }
   RecordStoreState(true, "read");
-  const bool isNewer = value.value().mRevision > mContext.mTable.Revision();
-  if (isNewer && !ApplyTable(value.value().mValue, value.value().mRevision)) {
-    co_return false;
-  }
-  if (value.value().mRevision == mContext.mTable.Revision()) {
-    mContext.mTable.ConfirmCurrent(value.value().mRevision, readStart);
-    mProofs = std::move(proofs);
+  const StoreVersion readAt{ reply.value().mEra, value.value().mRevision };
+  bool isNewer = false;
+  if (readAt != mTableReadAt) {
+    const auto applied = ApplyTable(value.value().mValue, StoreClient::kName);
+    if (applied == Applied::kUnreadable) {
+      co_return false;
+    }
+    isNewer = applied == Applied::kReplaced;
+    mTableReadAt = readAt;
   }
+  // The store's table is this host's, or an older one of a copy.
+  mContext.mTable.ConfirmCurrent(*mContext.mTable.Version(), readStart);
+  mProofs = std::move(proofs);
   if (isNewer) {
     SendTable([this](const auto& aAdd) {
       mExchange.Broadcast(
@@ -244,26 +254,30 @@
   co_return true;
 }
 
-bool
-SiteFeed::ApplyTable(const std::string& aValue, std::int64_t aRevision)
+SiteFeed::Applied
+SiteFeed::ApplyTable(const std::string& aValue, const std::string& aFrom)
 {
   auto table = mContext.mCodec.ReadTable(aValue);
   if (!table) {
-    mContext.mLog.Write(
-      "table_unreadable",
-      { { "revision", aRevision }, { "why", table.error().mMessage } });
-    return false;
+    mContext.mLog.Write("table_unreadable",
+                        { { "from", aFrom },
+                          { "era", mContext.mEra.Latest().mNumber },
+                          { "why", table.error().mMessage } });
+    return Applied::kUnreadable;
   }
   auto shared = std::make_shared<const ServingTable>(std::move(table.value()));
   const auto version = shared->Version();
-  if (mContext.mTable.Apply(std::move(shared), aRevision)) {
-    mTableContent = Compress(aValue);
-    mProofs.clear();
-    mContext.mMetrics.Count("entry_table_changes_total");
-    mContext.mLog.Write("table_applied",
-                        { { "revision", aRevision }, { "version", version } });
+  if (!mContext.mTable.Apply(std::move(shared))) {
+    return Applied::kNotNewer;
   }
-  return true;
+  mTableContent = Compress(aValue);
+  mProofs.clear();
+  mContext.mMetrics.Count("entry_table_changes_total");
+  mContext.mLog.Write("table_applied",
+                      { { "version", version.mNumber },
+                        { "from", aFrom },
+                        { "era", mContext.mEra.Latest().mNumber } });
+  return Applied::kReplaced;
 }
 
 Task<void>
@@ -607,7 +621,8 @@
   if (aContent == HostExchange::Content::kLoads) {
     return;
   }
-  aMessage.mTableRevision = mContext.mTable.Revision();
+  aMessage.mStoreEra = mContext.mEra.Latest();
+  aMessage.mTableVersion = mContext.mTable.Version();
   aMessage.mListRevision = mList.mRevision;
   aMessage.mListFingerprint = mListFingerprint;
   aMessage.mLiveHosts = static_cast<std::uint32_t>(mExchange.CountLiveHosts());
@@ -622,7 +637,6 @@
 
 void
 SiteFeed::SendContent(ContentKind aKind,
-                      std::int64_t aRevision,
                       const std::string& aContent,
                       std::string HostMessage::*aWhole,
                       const SendMessage& aSend)
@@ -632,7 +646,7 @@
     return;
   }
   for (const auto& part :
-       SplitContent(aKind, aRevision, aContent, HostExchange::kMaxPartBytes)) {
+       SplitContent(aKind, aContent, HostExchange::kMaxPartBytes)) {
     aSend([&](HostMessage& aMessage) { aMessage.mParts = { part }; });
   }
 }
@@ -640,11 +654,7 @@
 void
 SiteFeed::SendTable(const SendMessage& aSend)
 {
-  SendContent(ContentKind::kTable,
-              mContext.mTable.Revision(),
-              mTableContent,
-              &HostMessage::mTable,
-              aSend);
+  SendContent(ContentKind::kTable, mTableContent, &HostMessage::mTable, aSend);
 }
 
 void
@@ -653,11 +663,8 @@
   if (mListContent.empty()) {
     mListContent = PackList(mList);
   }
-  SendContent(ContentKind::kTargetList,
-              mList.mRevision,
-              mListContent,
-              &HostMessage::mList,
-              aSend);
+  SendContent(
+    ContentKind::kTargetList, mListContent, &HostMessage::mList, aSend);
 }
 
 void
@@ -718,14 +725,19 @@
 {
   for (const auto& part : aMessage.mParts) {
     if (part.mKind == static_cast<int>(ContentKind::kTable)) {
-      if (auto content = mTableParts.Add(aMessage.mHost, part);
-          content && part.mRevision > mContext.mTable.Revision()) {
-        ApplyTable(Uncompress(*content), part.mRevision);
+      if (!aMessage.mTableVersion) {
+        continue;
+      }
+      if (auto content =
+            mTableParts.Add(aMessage.mHost, *aMessage.mTableVersion, part);
+          content && aMessage.mTableVersion > mContext.mTable.Version()) {
+        ApplyTable(Uncompress(*content), aMessage.mHost);
       }
     } else if (part.mKind == static_cast<int>(ContentKind::kTargetList)) {
-      if (auto content = mListParts.Add(aMessage.mHost, part);
-          content && part.mRevision > mList.mRevision) {
-        ApplyPackedList(*content, part.mRevision, aMessage.mHost);
+      if (auto content = mListParts.Add(
+            aMessage.mHost, StoreVersion{ {}, aMessage.mListRevision }, part);
+          content && aMessage.mListRevision > mList.mRevision) {
+        ApplyPackedList(*content, aMessage.mListRevision, aMessage.mHost);
       }
     }
   }
@@ -761,7 +773,7 @@
 SiteFeed::RequestMissingContent(const HostMessage& aMessage)
 {
   if (mContentRequestPending || mContext.Now() < mNextContentRequest ||
-      (aMessage.mTableRevision <= mContext.mTable.Revision() &&
+      (aMessage.mTableVersion <= mContext.mTable.Version() &&
        aMessage.mListRevision <= mList.mRevision)) {
     return;
   }
@@ -772,19 +784,19 @@
     "content_request",
     RequestAfterDelay(hasContent ? kContentRequestDelay : milliseconds(0),
                       aMessage.mHost,
-                      aMessage.mTableRevision,
+                      aMessage.mTableVersion,
                       aMessage.mListRevision));
 }
 
 Task<void>
 SiteFeed::RequestAfterDelay(milliseconds aDelay,
                             std::string aHost,
-                            std::int64_t aTableRevision,
+                            std::optional<TableVersion> aTable,
                             std::int64_t aListRevision)
 {
   co_await SleepFor(mContext.mIo, aDelay);
   mContentRequestPending = false;
-  const bool lacksTable = aTableRevision > mContext.mTable.Revision();
+  const bool lacksTable = aTable > mContext.mTable.Version();
   const bool lacksList = aListRevision > mList.mRevision;
   if (lacksTable || lacksList) {
     mNextContentRequest = mContext.Now() + kContentRequestInterval;
@@ -799,6 +811,9 @@
 SiteFeed::Handle(const HostMessage& aMessage)
 {
   const auto now = mContext.Now();
+  const bool isCurrent =
+    mContext.ObserveEra(aMessage.mStoreEra, aMessage.mHost) !=
+    EraTracker::Outcome::kOutdated;
   mContext.mLoad.SetPeer(aMessage.mHost, aMessage.mLoads, now);
   mDiscovery.Handle(aMessage);
   if (!aMessage.mDeparting.empty() && mOnDeparting) {
@@ -822,17 +837,19 @@
     AvoidSilentEngine(engine, aMessage.mHost);
   }
   mContext.mCrashWatch.Merge(aMessage.mCrashReport);
+  // A newer version is in force in whatever era it was read.
   if (!aMessage.mTable.empty() &&
-      aMessage.mTableRevision > mContext.mTable.Revision()) {
-    ApplyTable(Uncompress(aMessage.mTable), aMessage.mTableRevision);
+      aMessage.mTableVersion > mContext.mTable.Version()) {
+    ApplyTable(Uncompress(aMessage.mTable), aMessage.mHost);
   }
   ApplyParts(aMessage);
   ApplyTargetListFrom(aMessage);
-  if (aMessage.mTableRevision == mContext.mTable.Revision()) {
+  if (isCurrent && aMessage.mTableVersion &&
+      aMessage.mTableVersion == mContext.mTable.Version()) {
     if (aMessage.mProvenIncarnation == mExchange.Incarnation()) {
       const MonotonicTime provenAt{ Duration(aMessage.mProvenAt) };
       if (provenAt <= now) {
-        mContext.mTable.ConfirmCurrent(aMessage.mTableRevision, provenAt);
+        mContext.mTable.ConfirmCurrent(*aMessage.mTableVersion, provenAt);
       }
     }
     if (aMessage.mTableRead) {
--- a/Source/Entry/SiteFeed.h
+++ b/Source/Entry/SiteFeed.h
@@ -73,7 +73,14 @@
                    HostExchange::Content aContent,
                    HostMessage& aMessage);
   void Handle(const HostMessage& aMessage);
-  bool ApplyTable(const std::string& aValue, std::int64_t aRevision);
+  enum class Applied
+  {
+    kUnreadable,
+    kNotNewer,
+    kReplaced,
+  };
+  /// Applies a table, given as its value in the store, if it is newer.
+  Applied ApplyTable(const std::string& aValue, const std::string& aFrom);
   void ApplyTargetList(const TargetList& aList);
   void RecordStoreState(bool aReached, const std::string& aReason);
   std::size_t Rank() const;
@@ -86,7 +93,6 @@
   /// Sends aContent as the member aWhole of one message, or in parts if it is
   /// too large.
   static void SendContent(ContentKind aKind,
-                          std::int64_t aRevision,
                           const std::string& aContent,
                           std::string HostMessage::*aWhole,
                           const SendMessage& aSend);
@@ -105,7 +111,7 @@
   void RequestMissingContent(const HostMessage& aMessage);
   Task<void> RequestAfterDelay(std::chrono::milliseconds aDelay,
                                std::string aHost,
-                               std::int64_t aTableRevision,
+                               std::optional<TableVersion> aTable,
                                std::int64_t aListRevision);
 
   EntryContext& mContext;
@@ -116,6 +122,8 @@
   SharedReads mListReads;
   /// The compressed bytes of the table's value in the store, for other hosts.
   std::string mTableContent;
+  /// Where in the store a read has found mTableContent, or an older table.
+  StoreVersion mTableReadAt;
   TargetList mList;
   std::uint64_t mListFingerprint = 0;
   /// The compressed mList, for other hosts; built when the first one needs it.
@@ -128,7 +136,7 @@
     std::int64_t mSentAt = 0;
   };
   /// By host, the time at which it may regard its table as current, provided
-  /// that it has the revision that the last read found.
+  /// that it has the version of this host's table.
   std::map<std::string, Proof> mProofs;
   bool mStoreReached = false;
   bool mStoreStateKnown = false;
@@ -139,8 +147,8 @@
   bool mContentRequestPending = false;
   MonotonicTime mNextContentRequest;
   std::set<std::string> mContentWaiters;
-  ContentAssembler mTableParts;
-  ContentAssembler mListParts;
+  ContentAssembler<TableVersion> mTableParts;
+  ContentAssembler<StoreVersion> mListParts;
   SilenceWatch mSilence;
 };
 
--- a/Source/Entry/StoreClient.cxx
+++ b/Source/Entry/StoreClient.cxx
@@ -50,7 +50,7 @@
   const auto read = mContext.mCodec.ReadStoreEra(aHeaders);
   const auto era = read ? read.value() : StoreEra{};
   const bool isOutdated =
-    mContext.ObserveEra(era, "store") == EraTracker::Outcome::kOutdated;
+    mContext.ObserveEra(era, kName) == EraTracker::Outcome::kOutdated;
   if (read && !isOutdated) {
     mEraWasBad = false;
     return era;
--- a/Source/Entry/StoreClient.h
+++ b/Source/Entry/StoreClient.h
@@ -17,6 +17,9 @@
 class StoreClient
 {
 public:
+  /// Who an era or a table came from, beside the addresses of hosts.
+  static constexpr const char* kName = "store";
+
   explicit StoreClient(EntryContext& aContext)
     : mContext(aContext)
   {
--- a/Source/Serving/CachedTable.cxx
+++ b/Source/Serving/CachedTable.cxx
@@ -3,22 +3,26 @@
 namespace ragwortdeck {
 
 bool
-CachedTable::Apply(std::shared_ptr<const ServingTable> aTable,
-                   std::int64_t aRevision)
+CachedTable::Apply(std::shared_ptr<const ServingTable> aTable)
 {
-  if (aRevision <= mRevision) {
+  if (aTable->Version() <= Version()) {
     return false;
   }
-  mRevision = aRevision;
   mTable = std::move(aTable);
   return true;
 }
 
+std::optional<TableVersion>
+CachedTable::Version() const
+{
+  return mTable ? std::optional(mTable->Version()) : std::nullopt;
+}
+
 void
-CachedTable::ConfirmCurrent(std::int64_t aRevision, MonotonicTime aAt)
+CachedTable::ConfirmCurrent(TableVersion aVersion, MonotonicTime aAt)
 {
-  // The confirmation of another revision says nothing about this table.
-  if (aRevision != mRevision || !mTable) {
+  // The confirmation of another version says nothing about this table.
+  if (aVersion != Version()) {
     return;
   }
   if (!mConfirmedAt || *mConfirmedAt < aAt) {
--- a/Source/Serving/CachedTable.h
+++ b/Source/Serving/CachedTable.h
@@ -53,13 +53,12 @@
   {
   }
 
-  /// Replaces the table by the one of the store's aRevision. A revision that
-  /// is not newer is ignored, so the table never goes back to an older version.
+  /// Replaces the table. One whose version is not newer is ignored, so the
+  /// table never goes back to an older version, not even if the store does.
   /// Returns true when the table was replaced.
-  bool Apply(std::shared_ptr<const ServingTable> aTable,
-             std::int64_t aRevision);
-  /// Records that the table of aRevision was the newest in the store at aAt.
-  void ConfirmCurrent(std::int64_t aRevision, MonotonicTime aAt);
+  bool Apply(std::shared_ptr<const ServingTable> aTable);
+  /// Records that at aAt the store had no table newer than aVersion.
+  void ConfirmCurrent(TableVersion aVersion, MonotonicTime aAt);
 
   /// Looks up the route and team of a request; aKey is empty when the request
   /// carries none.
@@ -70,13 +69,18 @@
   /// Whether the table is recent enough to admit requests that need a key.
   bool AcceptsKeyedRequests(MonotonicTime aNow) const;
   const std::shared_ptr<const ServingTable>& Table() const { return mTable; }
-  std::int64_t Revision() const { return mRevision; }
+  /// Nothing while no table is known, which comes before all versions.
+  std::optional<TableVersion> Version() const;
+  /// Number of the version for logs; 0 while no table is known.
+  std::int64_t VersionNumber() const
+  {
+    return Version().value_or(TableVersion{}).mNumber;
+  }
   std::optional<MonotonicTime> ConfirmedAt() const { return mConfirmedAt; }
 
 private:
   Bounds mBounds;
   std::shared_ptr<const ServingTable> mTable;
-  std::int64_t mRevision = 0;
   std::optional<MonotonicTime> mConfirmedAt;
 };
 
--- a/Source/Serving/ContentParts.cxx
+++ b/Source/Serving/ContentParts.cxx
@@ -6,14 +6,13 @@
 
 std::vector<ContentPart>
 SplitContent(ContentKind aKind,
-             std::int64_t aRevision,
              const std::string& aContent,
              std::size_t aMaxBytes)
 {
   std::vector<ContentPart> parts;
   for (std::size_t at = 0; at < aContent.size(); at += aMaxBytes) {
     parts.push_back({ static_cast<int>(aKind),
-                      aRevision,
+                      0,
                       static_cast<int>(parts.size()),
                       0,
                       aContent.substr(at, aMaxBytes) });
@@ -24,15 +23,18 @@
   return parts;
 }
 
+template<typename Version>
 std::optional<std::string>
-ContentAssembler::Add(const std::string& aSender, const ContentPart& aPart)
+ContentAssembler<Version>::Add(const std::string& aSender,
+                               const Version& aVersion,
+                               const ContentPart& aPart)
 {
   if (aPart.mCount < 1 || aPart.mCount > kMaxParts || aPart.mIndex < 0 ||
       aPart.mIndex >= aPart.mCount) {
     return std::nullopt;
   }
   const auto known = mAssemblies.find(aSender);
-  if (known != mAssemblies.end() && aPart.mRevision < known->second.mRevision) {
+  if (known != mAssemblies.end() && aVersion < known->second.mVersion) {
     return std::nullopt;
   }
   if (known == mAssemblies.end() && mAssemblies.size() >= kMaxSenders) {
@@ -44,9 +46,8 @@
                        }));
   }
   auto& assembly = mAssemblies[aSender];
-  if (assembly.mRevision != aPart.mRevision ||
-      assembly.mCount != aPart.mCount) {
-    assembly = { aPart.mRevision, aPart.mCount, 0, ++mNext, {} };
+  if (assembly.mVersion != aVersion || assembly.mCount != aPart.mCount) {
+    assembly = { aVersion, aPart.mCount, 0, ++mNext, {} };
   }
   if (assembly.mParts.emplace(aPart.mIndex, aPart.mBytes).second) {
     assembly.mBytes += aPart.mBytes.size();
@@ -66,4 +67,7 @@
   return content;
 }
 
+template class ContentAssembler<TableVersion>;
+template class ContentAssembler<StoreVersion>;
+
 } // namespace ragwortdeck
--- a/Source/Serving/ContentParts.h
+++ b/Source/Serving/ContentParts.h
@@ -1,5 +1,8 @@
 #pragma once
 
+#include "Serving/StoreVersion.h"
+#include "Serving/TableVersion.h"
+
 #include <cstdint>
 #include <map>
 #include <msgpack.hpp>
@@ -21,20 +24,19 @@
 {
   /// A ContentKind as a number.
   int mKind = 0;
-  /// Revision of the whole content.
-  std::int64_t mRevision = 0;
+  /// Used only by hosts of builds before HostMessage::mTableVersion.
+  std::int64_t mFormerRevision = 0;
   int mIndex = 0;
   int mCount = 0;
   std::string mBytes;
 
-  MSGPACK_DEFINE_ARRAY(mKind, mRevision, mIndex, mCount, mBytes)
+  MSGPACK_DEFINE_ARRAY(mKind, mFormerRevision, mIndex, mCount, mBytes)
   bool operator==(const ContentPart&) const = default;
 };
 
 /// Splits aContent into parts of at most aMaxBytes.
 std::vector<ContentPart>
 SplitContent(ContentKind aKind,
-             std::int64_t aRevision,
              const std::string& aContent,
              std::size_t aMaxBytes);
 
@@ -42,7 +44,8 @@
 /// order, possibly twice or not at all.
 ///
 /// Memory is bounded whatever arrives: parts of few senders are kept, the
-/// newest revision of each.
+/// newest version of each.
+template<typename Version>
 class ContentAssembler
 {
 public:
@@ -50,14 +53,16 @@
   static constexpr std::size_t kMaxBytes = std::size_t(2) << 20U;
   static constexpr std::size_t kMaxSenders = 4;
 
-  /// Returns the whole content when aPart was the last missing part of it.
+  /// Returns the whole content, which is of aVersion, when aPart was the last
+  /// missing part of it.
   std::optional<std::string> Add(const std::string& aSender,
+                                 const Version& aVersion,
                                  const ContentPart& aPart);
 
 private:
   struct Assembly
   {
-    std::int64_t mRevision = 0;
+    Version mVersion;
     int mCount = 0;
     std::size_t mBytes = 0;
     std::uint64_t mStarted = 0;
@@ -67,4 +72,7 @@
   std::uint64_t mNext = 0;
 };
 
+extern template class ContentAssembler<TableVersion>;
+extern template class ContentAssembler<StoreVersion>;
+
 } // namespace ragwortdeck
--- a/Source/Serving/ServingTable.cxx
+++ b/Source/Serving/ServingTable.cxx
@@ -44,7 +44,7 @@
 }
 
 ServingTable
-ServingTable::Create(std::int64_t aVersion,
+ServingTable::Create(TableVersion aVersion,
                      std::vector<Route> aRoutes,
                      std::vector<ServiceSpec> aServices,
                      CallerLimits aLimits,
--- a/Source/Serving/ServingTable.h
+++ b/Source/Serving/ServingTable.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "Serving/TableVersion.h"
+
 #include <chrono>
 #include <cstdint>
 #include <map>
@@ -122,13 +124,13 @@
 class ServingTable
 {
 public:
-  static ServingTable Create(std::int64_t aVersion,
+  static ServingTable Create(TableVersion aVersion,
                              std::vector<Route> aRoutes,
                              std::vector<ServiceSpec> aServices,
                              CallerLimits aLimits,
                              std::optional<std::vector<TeamSpec>> aTeams);
 
-  std::int64_t Version() const { return mVersion; }
+  TableVersion Version() const { return mVersion; }
   const CallerLimits& Limits() const { return mLimits; }
   /// Whether requests need the key of a team, except on public routes. A table
   /// with an empty list of teams admits no key; one without a list needs none.
@@ -144,7 +146,7 @@
   bool operator==(const ServingTable&) const = default;
 
 private:
-  std::int64_t mVersion = 0;
+  TableVersion mVersion;
   /// Sorted by host, then by descending length of the path prefix.
   std::vector<Route> mRoutes;
   std::map<std::string, ServiceSpec> mServices;
--- a/Tests/Entry/HostExchangeTest.cxx
+++ b/Tests/Entry/HostExchangeTest.cxx
@@ -148,8 +148,9 @@
     Section("a message to all reaches each other host once, with its sender's "
             "name and time",
             [&] {
-              fleet.At(0).mExchange->Broadcast(
-                [](HostMessage& aMessage) { aMessage.mTableRevision = 5; });
+              fleet.At(0).mExchange->Broadcast([](HostMessage& aMessage) {
+                aMessage.mTableVersion = TableVersion{ 5 };
+              });
               fleet.RunIdle();
               CPPUNIT_ASSERT(fleet.At(0).mReceived.empty());
               const auto sentAt = fleet.At(1).mReceived.at(0).mSentAt;
@@ -157,8 +158,7 @@
                 const auto& received = fleet.At(i).mReceived;
                 CPPUNIT_ASSERT_EQUAL(std::size_t(1), received.size());
                 CPPUNIT_ASSERT_EQUAL(fleet.At(0).mAddress, received[0].mHost);
-                CPPUNIT_ASSERT_EQUAL(std::int64_t(5),
-                                     received[0].mTableRevision);
+                CPPUNIT_ASSERT(received[0].mTableVersion == TableVersion{ 5 });
                 CPPUNIT_ASSERT_EQUAL(sentAt, received[0].mSentAt);
               }
             });
--- a/Tests/Entry/RelayWorld.cxx
+++ b/Tests/Entry/RelayWorld.cxx
@@ -221,13 +221,12 @@
   }
   mEntry->mTable.Apply(
     std::make_shared<const ServingTable>(ServingTable::Create(
-      1,
+      { 1 },
       std::move(routes),
       { { "s", 100, mEngine } },
       {},
-      std::vector<TeamSpec>{ { "team", { "secret" }, std::nullopt } })),
-    1);
-  mEntry->mTable.ConfirmCurrent(1, mEntry->Now() + std::chrono::hours(1));
+      std::vector<TeamSpec>{ { "team", { "secret" }, std::nullopt } })));
+  mEntry->mTable.ConfirmCurrent({ 1 }, mEntry->Now() + std::chrono::hours(1));
   TargetList list;
   list.mRevision = 1;
   for (const auto& it : mTargets) {
--- a/Tests/Entry/TableChangeTest.cxx
+++ b/Tests/Entry/TableChangeTest.cxx
@@ -28,15 +28,13 @@
     world.Start();
     const auto applyLimits = [&](std::int64_t aVersion, CallerLimits aLimits) {
       auto& table = world.Context().mTable;
-      table.Apply(
-        std::make_shared<const ServingTable>(ServingTable::Create(
-          aVersion,
-          { *table.Table()->FindRoute("shop.example", "/unsafe/x") },
-          { { "s", 100, std::nullopt } },
-          aLimits,
-          std::vector<TeamSpec>{ { "team", { "secret" }, std::nullopt } })),
-        aVersion);
-      table.ConfirmCurrent(aVersion,
+      table.Apply(std::make_shared<const ServingTable>(ServingTable::Create(
+        { aVersion },
+        { *table.Table()->FindRoute("shop.example", "/unsafe/x") },
+        { { "s", 100, std::nullopt } },
+        aLimits,
+        std::vector<TeamSpec>{ { "team", { "secret" }, std::nullopt } })));
+      table.ConfirmCurrent({ aVersion },
                            world.Context().Now() + std::chrono::hours(1));
     };
     applyLimits(2, { 100, 10 });
@@ -59,15 +57,14 @@
     // The new table has neither the route nor the key.
     const auto changeTable = [](RelayWorld& aWorld) {
       auto& table = aWorld.Context().mTable;
-      table.Apply(
-        std::make_shared<const ServingTable>(ServingTable::Create(
-          2,
-          {},
-          {},
-          {},
-          std::vector<TeamSpec>{ { "other", { "new" }, std::nullopt } })),
-        2);
-      table.ConfirmCurrent(2, aWorld.Context().Now() + std::chrono::hours(1));
+      table.Apply(std::make_shared<const ServingTable>(ServingTable::Create(
+        { 2 },
+        {},
+        {},
+        {},
+        std::vector<TeamSpec>{ { "other", { "new" }, std::nullopt } })));
+      table.ConfirmCurrent({ 2 },
+                           aWorld.Context().Now() + std::chrono::hours(1));
     };
     Section("a plain request at its server", [&] {
       RelayWorld world;
--- a/Tests/FleetCodec/FleetCodecTest.cxx
+++ b/Tests/FleetCodec/FleetCodecTest.cxx
@@ -83,7 +83,7 @@
   {
     const FleetCodec codec;
     const auto table = codec.ReadTable(kTable).value();
-    CPPUNIT_ASSERT_EQUAL(std::int64_t(7), table.Version());
+    CPPUNIT_ASSERT(table.Version() == TableVersion{ 7 });
     const auto* route = table.FindRoute("h", "/a/x");
     CPPUNIT_ASSERT(route && route->mKind == RouteKind::kStream);
     CPPUNIT_ASSERT(route->mResumable &&
--- a/Tests/Serving/TableTest.cxx
+++ b/Tests/Serving/TableTest.cxx
@@ -34,7 +34,7 @@
   auto open = MakeRoute("/open/", "s");
   open.mPublic = true;
   return std::make_shared<const ServingTable>(ServingTable::Create(
-    aVersion,
+    { aVersion },
     { MakeRoute("/a/", "s"), MakeRoute("/a/b/", "longer"), open },
     { { "s", 10, std::nullopt } },
     {},
@@ -102,13 +102,13 @@
   void TestTableVersions()
   {
     CachedTable cached({ milliseconds(4700), milliseconds(1700) });
-    CPPUNIT_ASSERT(cached.Apply(MakeTable(7, {}), 20));
+    CPPUNIT_ASSERT(cached.Apply(MakeTable(7, {})));
     Section("an older table does not replace a newer one", [&] {
-      CPPUNIT_ASSERT(!cached.Apply(MakeTable(6, {}), 19));
-      CPPUNIT_ASSERT_EQUAL(std::int64_t(7), cached.Table()->Version());
+      CPPUNIT_ASSERT(!cached.Apply(MakeTable(6, {})));
+      CPPUNIT_ASSERT(cached.Version() == TableVersion{ 7 });
     });
     Section("confirming an older table has no effect", [&] {
-      cached.ConfirmCurrent(19, At(1000));
+      cached.ConfirmCurrent({ 6 }, At(1000));
       CPPUNIT_ASSERT(!cached.ConfirmedAt());
     });
   }
@@ -122,9 +122,8 @@
                      admission.mDenial == Denial::kTableNotCurrent);
     });
     cached.Apply(
-      MakeTable(1, std::vector<TeamSpec>{ { "team", { "k" }, std::nullopt } }),
-      5);
-    cached.ConfirmCurrent(5, At(10000));
+      MakeTable(5, std::vector<TeamSpec>{ { "team", { "k" }, std::nullopt } }));
+    cached.ConfirmCurrent({ 5 }, At(10000));
     const auto admit = [&](const char* aPath, const char* aKey, int aMs) {
       return cached.Admit("shop.example", aPath, aKey, At(aMs));
     };
@@ -146,7 +145,7 @@
                      Denial::kTableNotCurrent);
     });
     Section("an earlier confirmation does not replace a later one", [&] {
-      cached.ConfirmCurrent(5, At(9000));
+      cached.ConfirmCurrent({ 5 }, At(9000));
       CPPUNIT_ASSERT(*cached.ConfirmedAt() == At(10000));
     });
   }
@@ -161,9 +160,9 @@
                            const char* aKey,
                            int aMs) {
       CachedTable cached({ milliseconds(4700), milliseconds(1700) });
-      cached.Apply(MakeTable(1, withKey), 1);
-      cached.Apply(MakeTable(2, std::move(aTeams)), 2);
-      cached.ConfirmCurrent(2, At(10000));
+      cached.Apply(MakeTable(1, withKey));
+      cached.Apply(MakeTable(2, std::move(aTeams)));
+      cached.ConfirmCurrent({ 2 }, At(10000));
       return cached.Admit("shop.example", aPath, aKey, At(aMs));
     };
     const std::vector<TeamSpec> noTeam;
