Entry, Serving: Order target lists by era and revision

Cause: the target list was newer if its revision was higher. After the return revisions start below those of lost lists, so all lists were ignored until they had caught up; where the revision of a lost list had been given out again, a watch went on from it and missed what came before.

Era and revision decide now (StoreVersion), for reads, watches, messages of other hosts, their parts and requests. A watch that is answered in another era than its revision is from leads to a read of the whole list, as does a host that hears of a later era. Pages of two eras are not put together. Lists of earlier eras change nothing.

The list of a copy may be older than what a host knows. So the return counts as an outage: entries that are missing are kept for the time that targets have to register again. A target that was leaving or gone stays so, and one that has warmed up is not cold, until it has started again or its entry has outlived any that nobody refreshes (kCopyDoubt).

--- a/Source/Entry/CallerSession.cxx
+++ b/Source/Entry/CallerSession.cxx
@@ -673,7 +673,7 @@
       { "table_age_ms",
         proven ? std::chrono::duration_cast<Milliseconds>(now - *proven).count()
                : -1 },
-      { "list_revision", mContext.mTargets.Revision() },
+      { "list_revision", mContext.mTargets.Version().mRevision },
       { "hosts", mContext.mCountHosts ? mContext.mCountHosts() : 1 } });
 }
 
--- a/Source/Entry/Departures.cxx
+++ b/Source/Entry/Departures.cxx
@@ -42,11 +42,12 @@
   auto& exchange = mFeed.Exchange();
   const auto planner = SharedReads::FastOwnerOf(
     exchange.Self(), exchange.LiveHosts(), kPlannerKey);
-  mContext.mLog.Write("departures_told",
-                      { { "engines", aEngines },
-                        { "list_revision", mContext.mTargets.Revision() },
-                        { "planner", planner },
-                        { "streams", own.size() } });
+  mContext.mLog.Write(
+    "departures_told",
+    { { "engines", aEngines },
+      { "list_revision", mContext.mTargets.Version().mRevision },
+      { "planner", planner },
+      { "streams", own.size() } });
   if (planner == exchange.Self().mName) {
     AddDeparting(own);
     return;
@@ -98,12 +99,13 @@
     engines.insert(copy.mEngine);
     copies += copy.mDestination.empty() ? 0 : 1;
   }
-  mContext.mLog.Write("departure_planned",
-                      { { "engines", engines },
-                        { "list_revision", mContext.mTargets.Revision() },
-                        { "hosts", byHost.size() },
-                        { "streams", plan.size() },
-                        { "copies", copies } });
+  mContext.mLog.Write(
+    "departure_planned",
+    { { "engines", engines },
+      { "list_revision", mContext.mTargets.Version().mRevision },
+      { "hosts", byHost.size() },
+      { "streams", plan.size() },
+      { "copies", copies } });
   mBarrier.Await(plan, mContext.Now());
   for (const auto& [host, part] : byHost) {
     if (host == Self()) {
--- a/Source/Entry/EntryContext.cxx
+++ b/Source/Entry/EntryContext.cxx
@@ -96,7 +96,7 @@
                { "era_before", before.mNumber },
                { "from", aFrom },
                { "table_version", mTable.VersionNumber() },
-               { "list_revision", mTargets.Revision() } });
+               { "list_revision", mTargets.Version().mRevision } });
   if (mOnEraBegan) {
     mOnEraBegan();
   }
--- a/Source/Entry/EntryProcess.cxx
+++ b/Source/Entry/EntryProcess.cxx
@@ -226,10 +226,11 @@
       const bool ready = IsReady();
       if (ready != mWasReady) {
         mWasReady = ready;
-        mLog.Write(ready ? "ready" : "not_ready",
-                   { { "stopping", mContext.mStopping },
-                     { "table_version", mContext.mTable.VersionNumber() },
-                     { "list_revision", mContext.mTargets.Revision() } });
+        mLog.Write(
+          ready ? "ready" : "not_ready",
+          { { "stopping", mContext.mStopping },
+            { "table_version", mContext.mTable.VersionNumber() },
+            { "list_revision", mContext.mTargets.Version().mRevision } });
       }
       response.result(ready ? kStatusOk : kStatusUnavailable);
       response.body() = ready ? "ready\n" : "not ready\n";
--- a/Source/Entry/HostMessage.h
+++ b/Source/Entry/HostMessage.h
@@ -61,8 +61,8 @@
   /// The sender has just read the table, or the target list, from the store.
   bool mTableRead = false;
   bool mListRead = false;
-  /// Revision of the store at which the sender's target list was read.
-  std::int64_t mListRevision = 0;
+  /// Used only by hosts of builds before mListVersion; left at 0.
+  std::int64_t mFormerListRevision = 0;
   /// Fingerprint of the sender's target list; 0 when it has none.
   std::uint64_t mListFingerprint = 0;
 
@@ -121,6 +121,9 @@
   /// Version of the sender's table; nothing when it has none, when the message
   /// carries only loads, or from hosts of builds without this field.
   std::optional<TableVersion> mTableVersion;
+  /// Version of the store at which the sender's target list was read; not known
+  /// in the same cases.
+  StoreVersion mListVersion;
 
   MSGPACK_DEFINE_ARRAY(mHost,
                        mIncarnation,
@@ -131,7 +134,7 @@
                        mProvenIncarnation,
                        mTableRead,
                        mListRead,
-                       mListRevision,
+                       mFormerListRevision,
                        mListFingerprint,
                        mLoads,
                        mDeparting,
@@ -156,7 +159,8 @@
                        mLeavingBorn,
                        mCrashReport,
                        mStoreEra,
-                       mTableVersion)
+                       mTableVersion,
+                       mListVersion)
 };
 
 } // namespace ragwortdeck
--- a/Source/Entry/PlatformCodec.h
+++ b/Source/Entry/PlatformCodec.h
@@ -117,7 +117,9 @@
 /// \brief The store's response to a read of the target list.
 struct TargetListPage
 {
-  TargetList mList;
+  /// Revision of the store when the page was read.
+  std::int64_t mRevision = 0;
+  std::map<std::string, Target> mTargets;
   /// Where the next page begins; empty on the last one.
   std::string mNext;
   /// Entries that could not be parsed, for the metrics.
--- a/Source/Entry/SiteFeed.cxx
+++ b/Source/Entry/SiteFeed.cxx
@@ -75,7 +75,7 @@
 PackList(const TargetList& aList)
 {
   msgpack::sbuffer bytes;
-  msgpack::pack(bytes, aList);
+  msgpack::pack(bytes, aList.mTargets);
   return Compress({ bytes.data(), bytes.size() });
 }
 
@@ -180,11 +180,12 @@
   mStoreReached = aReached;
   mContext.mMetrics.Count(aReached ? "entry_store_regained_total"
                                    : "entry_store_lost_total");
-  mContext.mLog.Write(aReached ? "store_regained" : "store_lost",
-                      { { "why", aReason },
-                        { "era", mContext.mEra.Latest().mNumber },
-                        { "table_version", mContext.mTable.VersionNumber() },
-                        { "list_revision", mContext.mTargets.Revision() } });
+  mContext.mLog.Write(
+    aReached ? "store_regained" : "store_lost",
+    { { "why", aReason },
+      { "era", mContext.mEra.Latest().mNumber },
+      { "table_version", mContext.mTable.VersionNumber() },
+      { "list_revision", mContext.mTargets.Version().mRevision } });
 }
 
 Task<void>
@@ -221,26 +222,21 @@
     }
   }
   auto reply = co_await mStore.Call(mContext.mCodec.TableRead());
-  if (!reply) {
-    RecordStoreState(reply.error().mCode == ErrorCode::kNotFound,
-                     reply.error().mMessage);
-    co_return false;
-  }
-  auto value = mContext.mCodec.ReadStoreValue(reply.value().mBody);
-  if (!value) {
-    RecordStoreState(false, value.error().mMessage);
-    co_return false;
-  }
-  RecordStoreState(true, "read");
-  const StoreVersion readAt{ reply.value().mEra, value.value().mRevision };
   bool isNewer = false;
-  if (readAt != mTableReadAt) {
-    const auto applied = ApplyTable(value.value().mValue, StoreClient::kName);
+  if (reply) {
+    const auto applied = ApplyTableOf(reply.value());
     if (applied == Applied::kUnreadable) {
       co_return false;
     }
     isNewer = applied == Applied::kReplaced;
-    mTableReadAt = readAt;
+  } else {
+    const bool isAbsent = reply.error().mCode == ErrorCode::kNotFound;
+    RecordStoreState(isAbsent, reply.error().mMessage);
+    // A store that has come back may be a copy from before the first table.
+    if (!isAbsent || !mContext.mEra.Latest().IsKnown() ||
+        !mContext.mTable.Table()) {
+      co_return false;
+    }
   }
   // The store's table is this host's, or an older one of a copy.
   mContext.mTable.ConfirmCurrent(*mContext.mTable.Version(), readStart);
@@ -254,6 +250,26 @@
   co_return true;
 }
 
+SiteFeed::Applied
+SiteFeed::ApplyTableOf(const StoreReply& aReply)
+{
+  auto value = mContext.mCodec.ReadStoreValue(aReply.mBody);
+  if (!value) {
+    RecordStoreState(false, value.error().mMessage);
+    return Applied::kUnreadable;
+  }
+  RecordStoreState(true, "read");
+  const StoreVersion readAt{ aReply.mEra, value.value().mRevision };
+  if (readAt == mTableReadAt) {
+    return Applied::kNotNewer;
+  }
+  const auto applied = ApplyTable(value.value().mValue, StoreClient::kName);
+  if (applied != Applied::kUnreadable) {
+    mTableReadAt = readAt;
+  }
+  return applied;
+}
+
 SiteFeed::Applied
 SiteFeed::ApplyTable(const std::string& aValue, const std::string& aFrom)
 {
@@ -329,7 +345,8 @@
 Task<bool>
 SiteFeed::ReadTargets()
 {
-  if (mList.mRevision > 0) {
+  if (mList.mVersion.IsKnown() &&
+      mList.mVersion.mEra == mContext.mEra.Latest()) {
     const bool mayWait =
       mListReads.IsReader() && mListReads.InTenure(mContext.Now());
     const auto watched = co_await WatchTargets(
@@ -351,24 +368,30 @@
 Task<Result<void>>
 SiteFeed::WatchTargets(Milliseconds aWait)
 {
-  auto body =
-    co_await mStore.Call(mContext.mCodec.TargetsWatch(mList.mRevision, aWait));
-  if (!body) {
-    co_return Failure(body.error().mCode, body.error().mMessage);
+  const auto after = mList.mVersion;
+  auto reply =
+    co_await mStore.Call(mContext.mCodec.TargetsWatch(after.mRevision, aWait));
+  if (!reply) {
+    co_return Failure(reply.error().mCode, reply.error().mMessage);
   }
-  auto changes = mContext.mCodec.ReadTargetChanges(body.value().mBody);
+  if (reply.value().mEra != after.mEra) {
+    // The store took the revision for one of its own.
+    co_return Failure(ErrorCode::kNotFound, "changes of another era");
+  }
+  auto changes = mContext.mCodec.ReadTargetChanges(reply.value().mBody);
   if (!changes) {
     mContext.mLog.Write("changes_unreadable",
                         { { "why", changes.error().mMessage } });
     co_return Failure(ErrorCode::kCorrupt, changes.error().mMessage);
   }
   RecordStoreState(true, "watched");
+  const StoreVersion version{ after.mEra, changes.value().mRevision };
   // Another host's read may have arrived meanwhile.
-  if (changes.value().mRevision < mList.mRevision) {
+  if (version < mList.mVersion) {
     co_return Success();
   }
   auto list = mList;
-  list.mRevision = changes.value().mRevision;
+  list.mVersion = version;
   for (auto& [id, target] : changes.value().mTargets) {
     if (target) {
       list.mTargets[id] = std::move(*target);
@@ -386,12 +409,12 @@
   TargetList list;
   std::string after;
   do {
-    auto body = co_await mStore.Call(mContext.mCodec.TargetsRead(after));
-    if (!body) {
-      RecordStoreState(false, body.error().mMessage);
+    auto reply = co_await mStore.Call(mContext.mCodec.TargetsRead(after));
+    if (!reply) {
+      RecordStoreState(false, reply.error().mMessage);
       co_return false;
     }
-    auto page = mContext.mCodec.ReadTargets(body.value().mBody);
+    auto page = mContext.mCodec.ReadTargets(reply.value().mBody);
     if (!page) {
       RecordStoreState(false, page.error().mMessage);
       co_return false;
@@ -399,9 +422,12 @@
     // The pages are not one snapshot. The first page's revision is the lowest,
     // so it never claims changes that a page lacks.
     if (after.empty()) {
-      list.mRevision = page.value().mList.mRevision;
+      list.mVersion = { reply.value().mEra, page.value().mRevision };
+    } else if (reply.value().mEra != list.mVersion.mEra) {
+      RecordStoreState(true, "came back while the list was read");
+      co_return false;
     }
-    list.mTargets.merge(page.value().mList.mTargets);
+    list.mTargets.merge(page.value().mTargets);
     after = page.value().mNext;
     if (!page.value().mUnreadable.empty()) {
       mContext.mMetrics.Count("entry_unreadable_targets_total",
@@ -417,11 +443,13 @@
 SiteFeed::ApplyTargetList(const TargetList& aList)
 {
   const auto now = mContext.Now();
-  if (aList.mRevision < mList.mRevision) {
+  if (aList.mVersion < mList.mVersion) {
     return;
   }
-  if (aList.mTargets == mList.mTargets && mList.mRevision > 0) {
-    mList.mRevision = aList.mRevision;
+  // The same targets in a later era are news: they may be older ones.
+  if (aList.mTargets == mList.mTargets && mList.mVersion.IsKnown() &&
+      aList.mVersion.mEra == mList.mVersion.mEra) {
+    mList.mVersion = aList.mVersion;
     mContext.mTargets.Confirm(now);
     return;
   }
@@ -431,7 +459,8 @@
   const auto leaving = mContext.mTargets.Apply(aList, now);
   mContext.mMetrics.Count("entry_target_changes_total");
   mContext.mLog.Write("targets_changed",
-                      { { "revision", aList.mRevision },
+                      { { "revision", aList.mVersion.mRevision },
+                        { "era", aList.mVersion.mEra.mNumber },
                         { "targets", aList.mTargets.size() },
                         { "leaving", leaving } });
   if (!leaving.empty() && mOnLeaving) {
@@ -623,7 +652,7 @@
   }
   aMessage.mStoreEra = mContext.mEra.Latest();
   aMessage.mTableVersion = mContext.mTable.Version();
-  aMessage.mListRevision = mList.mRevision;
+  aMessage.mListVersion = mList.mVersion;
   aMessage.mListFingerprint = mListFingerprint;
   aMessage.mLiveHosts = static_cast<std::uint32_t>(mExchange.CountLiveHosts());
   if (aContent != HostExchange::Content::kAll) {
@@ -684,35 +713,50 @@
 void
 SiteFeed::ApplyTargetListFrom(const HostMessage& aMessage)
 {
-  if (aMessage.mListRevision <= mList.mRevision) {
+  const auto& version = aMessage.mListVersion;
+  if (!IsNewerList(version)) {
     return;
   }
-  if (aMessage.mListFingerprint == mListFingerprint) {
+  if (aMessage.mListFingerprint == mListFingerprint &&
+      version.mEra == mList.mVersion.mEra) {
     // The sender read the same targets at a later revision.
-    mList.mRevision = aMessage.mListRevision;
+    mList.mVersion = version;
+    return;
+  }
+  if (aMessage.mListFingerprint == mListFingerprint) {
+    ApplyTargetList({ version, mList.mTargets });
     return;
   }
   for (const auto& change : aMessage.mListChange) {
-    if (auto list = change.ApplyTo(mList)) {
+    if (auto list = change.ApplyTo(mList, version)) {
       ApplyTargetList(*list);
       return;
     }
   }
   if (!aMessage.mList.empty()) {
-    ApplyPackedList(aMessage.mList, aMessage.mListRevision, aMessage.mHost);
+    ApplyPackedList(aMessage.mList, version, aMessage.mHost);
   }
 }
 
+bool
+SiteFeed::IsNewerList(const StoreVersion& aVersion) const
+{
+  // A list of an earlier era may go on changing where the sender reads it.
+  const bool isLatestEra = aVersion.mEra == mContext.mEra.Latest();
+  return aVersion > mList.mVersion &&
+         (isLatestEra || !mList.mVersion.IsKnown());
+}
+
 void
 SiteFeed::ApplyPackedList(const std::string& aContent,
-                          std::int64_t aRevision,
+                          const StoreVersion& aVersion,
                           const std::string& aFrom)
 {
   TargetList list;
+  list.mVersion = aVersion;
   try {
     const auto bytes = Uncompress(aContent);
-    UnpackBounded(bytes.data(), bytes.size()).get().convert(list);
-    list.mRevision = aRevision;
+    UnpackBounded(bytes.data(), bytes.size()).get().convert(list.mTargets);
     ApplyTargetList(list);
   } catch (const std::exception& ec) {
     mContext.mLog.Write("list_unreadable",
@@ -734,10 +778,10 @@
         ApplyTable(Uncompress(*content), aMessage.mHost);
       }
     } else if (part.mKind == static_cast<int>(ContentKind::kTargetList)) {
-      if (auto content = mListParts.Add(
-            aMessage.mHost, StoreVersion{ {}, aMessage.mListRevision }, part);
-          content && aMessage.mListRevision > mList.mRevision) {
-        ApplyPackedList(*content, aMessage.mListRevision, aMessage.mHost);
+      if (auto content =
+            mListParts.Add(aMessage.mHost, aMessage.mListVersion, part);
+          content && IsNewerList(aMessage.mListVersion)) {
+        ApplyPackedList(*content, aMessage.mListVersion, aMessage.mHost);
       }
     }
   }
@@ -774,7 +818,7 @@
 {
   if (mContentRequestPending || mContext.Now() < mNextContentRequest ||
       (aMessage.mTableVersion <= mContext.mTable.Version() &&
-       aMessage.mListRevision <= mList.mRevision)) {
+       !IsNewerList(aMessage.mListVersion))) {
     return;
   }
   mContentRequestPending = true;
@@ -785,19 +829,19 @@
     RequestAfterDelay(hasContent ? kContentRequestDelay : milliseconds(0),
                       aMessage.mHost,
                       aMessage.mTableVersion,
-                      aMessage.mListRevision));
+                      aMessage.mListVersion));
 }
 
 Task<void>
 SiteFeed::RequestAfterDelay(milliseconds aDelay,
                             std::string aHost,
                             std::optional<TableVersion> aTable,
-                            std::int64_t aListRevision)
+                            StoreVersion aList)
 {
   co_await SleepFor(mContext.mIo, aDelay);
   mContentRequestPending = false;
   const bool lacksTable = aTable > mContext.mTable.Version();
-  const bool lacksList = aListRevision > mList.mRevision;
+  const bool lacksList = IsNewerList(aList);
   if (lacksTable || lacksList) {
     mNextContentRequest = mContext.Now() + kContentRequestInterval;
     mExchange.Send(aHost, [&](HostMessage& aMessage) {
@@ -856,7 +900,8 @@
       mTableReads.ResultArrived(aMessage.mHost, now);
     }
   }
-  if (aMessage.mListFingerprint == mListFingerprint && aMessage.mListRead) {
+  if (isCurrent && aMessage.mListVersion.IsKnown() && aMessage.mListRead &&
+      aMessage.mListFingerprint == mListFingerprint) {
     mContext.mTargets.Confirm(now);
     mListReads.ResultArrived(aMessage.mHost, now);
   }
--- a/Source/Entry/SiteFeed.h
+++ b/Source/Entry/SiteFeed.h
@@ -66,7 +66,7 @@
   Task<bool> ReadTargets();
   Task<bool> ReadAllTargets();
   /// Waits up to aWait for changes. Fails with kNotFound when the store has
-  /// dropped its history.
+  /// dropped its history, or has come back from a copy.
   Task<Result<void>> WatchTargets(Milliseconds aWait);
 
   void FillMessage(const std::string& aHost,
@@ -79,9 +79,14 @@
     kNotNewer,
     kReplaced,
   };
+  /// Applies the table that a read of the store has found, if it is newer.
+  Applied ApplyTableOf(const StoreReply& aReply);
   /// Applies a table, given as its value in the store, if it is newer.
   Applied ApplyTable(const std::string& aValue, const std::string& aFrom);
   void ApplyTargetList(const TargetList& aList);
+  /// Whether a target list of aVersion, as another host has it, is to replace
+  /// this host's.
+  bool IsNewerList(const StoreVersion& aVersion) const;
   void RecordStoreState(bool aReached, const std::string& aReason);
   std::size_t Rank() const;
   using SendMessage =
@@ -99,7 +104,7 @@
   void SendContentTo(const std::string& aHost, bool aTable, bool aList);
   void ApplyParts(const HostMessage& aMessage);
   void ApplyPackedList(const std::string& aContent,
-                       std::int64_t aRevision,
+                       const StoreVersion& aVersion,
                        const std::string& aFrom);
   void ApplyTargetListFrom(const HostMessage& aMessage);
   void AnswerRequests(const HostMessage& aMessage);
@@ -112,7 +117,7 @@
   Task<void> RequestAfterDelay(std::chrono::milliseconds aDelay,
                                std::string aHost,
                                std::optional<TableVersion> aTable,
-                               std::int64_t aListRevision);
+                               StoreVersion aList);
 
   EntryContext& mContext;
   HostExchange& mExchange;
@@ -122,7 +127,7 @@
   SharedReads mListReads;
   /// The compressed bytes of the table's value in the store, for other hosts.
   std::string mTableContent;
-  /// Where in the store a read has found mTableContent, or an older table.
+  /// Where in the store this host last read a table, newer or not.
   StoreVersion mTableReadAt;
   TargetList mList;
   std::uint64_t mListFingerprint = 0;
--- a/Source/Serving/StoreEra.h
+++ b/Source/Serving/StoreEra.h
@@ -16,7 +16,15 @@
 
   bool IsKnown() const { return mNumber != kUnknown; }
   auto operator<=>(const StoreEra&) const = default;
-  MSGPACK_DEFINE_ARRAY(mNumber)
+  template<typename Packer>
+  void msgpack_pack(Packer& aPacker) const
+  {
+    aPacker.pack(mNumber);
+  }
+  void msgpack_unpack(const msgpack::object& aObject)
+  {
+    aObject.convert(mNumber);
+  }
 };
 
 } // namespace ragwortdeck
--- a/Source/Serving/TableVersion.h
+++ b/Source/Serving/TableVersion.h
@@ -13,7 +13,15 @@
   std::int64_t mNumber = 0;
 
   auto operator<=>(const TableVersion&) const = default;
-  MSGPACK_DEFINE_ARRAY(mNumber)
+  template<typename Packer>
+  void msgpack_pack(Packer& aPacker) const
+  {
+    aPacker.pack(mNumber);
+  }
+  void msgpack_unpack(const msgpack::object& aObject)
+  {
+    aObject.convert(mNumber);
+  }
 };
 
 } // namespace ragwortdeck
--- a/Source/Serving/TargetDirectory.cxx
+++ b/Source/Serving/TargetDirectory.cxx
@@ -4,22 +4,19 @@
 
 namespace ragwortdeck {
 
-namespace {
-
 bool
-BeginLeaving(TargetDirectory::Entry& aEntry, MonotonicTime aNow)
+TargetDirectory::BeginLeaving(Entry& aEntry, MonotonicTime aNow) const
 {
   if (aEntry.mLeaving) {
     return false;
   }
   aEntry.mLeaving = true;
   aEntry.mLeavingSince = aNow;
+  aEntry.mLeavingEra = mVersion.mEra;
   aEntry.mMissingSince.reset();
   return true;
 }
 
-} // namespace
-
 void
 TargetDirectory::Confirm(MonotonicTime aNow)
 {
@@ -94,36 +91,59 @@
   return mLastReadAt ? aNow - *mLastReadAt : Duration::max();
 }
 
+bool
+TargetDirectory::ApplyEntry(const Target& aTarget, MonotonicTime aNow)
+{
+  const bool isNew = !mEntries.contains(aTarget.mId);
+  auto& entry = mEntries[aTarget.mId];
+  entry.mMissingSince.reset();
+  const bool mayBeOlder = !isNew && MayBeOlder(aNow);
+  if (mayBeOlder && aTarget.mBorn != 0 && aTarget.mBorn < entry.mBorn) {
+    return false;
+  }
+  const bool hasRestarted = entry.mBorn != 0 && aTarget.mBorn > entry.mBorn;
+  if (entry.mTarget != aTarget && (!mayBeOlder || hasRestarted)) {
+    entry.mWarmUpEnd = aNow + std::chrono::milliseconds(aTarget.mWarmUpMs);
+  }
+  entry.mTarget = aTarget;
+  const bool hasReported = HasReported(aTarget.mId, aTarget.mBorn, aNow);
+  entry.mBorn = std::max(entry.mBorn, aTarget.mBorn);
+  entry.mIsDoubted = mayBeOlder && entry.mLeaving &&
+                     entry.mLeavingEra < mVersion.mEra && !aTarget.mLeaving &&
+                     !hasRestarted && !hasReported;
+  if (!hasReported && !entry.mIsDoubted &&
+      (hasRestarted || !aTarget.mLeaving)) {
+    entry.mLeaving = false;
+  }
+  return (hasReported || aTarget.mLeaving) && BeginLeaving(entry, aNow);
+}
+
 std::vector<std::string>
 TargetDirectory::Apply(const TargetList& aList, MonotonicTime aNow)
 {
   std::vector<std::string> leaving;
-  if (aList.mRevision < mRevision) {
+  if (aList.mVersion < mVersion) {
     return leaving;
   }
-  mRevision = aList.mRevision;
   Confirm(aNow);
+  if (IsKnown() && aList.mVersion.mEra != mVersion.mEra) {
+    mEraBeganAt = aNow;
+    mOutageEndedAt = aNow;
+  }
+  mVersion = aList.mVersion;
   const bool afterOutage =
     mOutageEndedAt && aNow - *mOutageEndedAt < kReregistrationGrace;
   for (const auto& [id, target] : aList.mTargets) {
-    auto& entry = mEntries[id];
-    if (entry.mTarget != target) {
-      entry.mWarmUpEnd = aNow + std::chrono::milliseconds(target.mWarmUpMs);
-    }
-    entry.mTarget = target;
-    entry.mMissingSince.reset();
-    const bool hasReported = HasReported(id, target.mBorn, aNow);
-    const bool hasRestarted = entry.mBorn != 0 && target.mBorn > entry.mBorn;
-    entry.mBorn = std::max(entry.mBorn, target.mBorn);
-    if (!hasReported && (hasRestarted || !target.mLeaving)) {
-      entry.mLeaving = false;
-    }
-    if ((hasReported || target.mLeaving) && BeginLeaving(entry, aNow)) {
+    if (ApplyEntry(target, aNow)) {
       leaving.push_back(id);
     }
   }
   for (auto& [id, entry] : mEntries) {
-    if (aList.mTargets.contains(id) || entry.mLeaving) {
+    if (aList.mTargets.contains(id)) {
+      continue;
+    }
+    entry.mIsDoubted = false;
+    if (entry.mLeaving) {
       continue;
     }
     if (afterOutage) {
@@ -151,6 +171,10 @@
         BeginLeaving(entry, aNow)) {
       leaving.push_back(id);
     }
+    if (entry.mIsDoubted && !MayBeOlder(aNow)) {
+      entry.mIsDoubted = false;
+      entry.mLeaving = false;
+    }
   }
   return leaving;
 }
--- a/Source/Serving/TargetDirectory.h
+++ b/Source/Serving/TargetDirectory.h
@@ -14,6 +14,11 @@
 /// live targets register again within about two seconds. At all other times a
 /// missing entry means that the target is leaving.
 ///
+/// When the store comes back from an older copy, its list may be older than
+/// what this host knows. That counts as the end of an outage; besides, until
+/// kCopyDoubt has passed, a target that was leaving stays so and one that has
+/// warmed up is not taken for cold, unless it has started again.
+///
 /// What a target says of itself holds against the list until the target starts
 /// again, which a later mBorn shows.
 class TargetDirectory
@@ -27,6 +32,9 @@
   /// A longer time between two reads of the list counts as an outage. It spans
   /// several read periods.
   static constexpr Duration kMinOutageGap = std::chrono::milliseconds(1500);
+  /// How long the list of a later era may be older than what was known. An
+  /// entry that its target does not refresh lapses after a few seconds.
+  static constexpr Duration kCopyDoubt = std::chrono::seconds(10);
   /// A leaving target that is no longer listed is removed after this time.
   static constexpr Duration kForgetAfter = std::chrono::seconds(30);
   /// How long the report of a target that is not listed is kept. The target may
@@ -41,15 +49,19 @@
     bool mLeaving = false;
     /// Latest known start of the target; 0 when not known.
     std::int64_t mBorn = 0;
-    /// When this host learned that the target is leaving.
+    /// When this host learned that the target is leaving, and the era of the
+    /// list that it had.
     MonotonicTime mLeavingSince;
+    StoreEra mLeavingEra;
+    /// Kept as leaving though the list of a later era does not say so.
+    bool mIsDoubted = false;
     /// Expected end of the slow phase after its start.
     MonotonicTime mWarmUpEnd;
     /// When the entry was first missing after an outage; unset while listed.
     std::optional<MonotonicTime> mMissingSince;
   };
 
-  /// Applies a list; a revision older than the current one is ignored. Returns
+  /// Applies a list; a version older than the current one is ignored. Returns
   /// the ids of targets that are leaving since this list.
   std::vector<std::string> Apply(const TargetList& aList, MonotonicTime aNow);
 
@@ -73,13 +85,13 @@
   Duration ListAge(MonotonicTime aNow) const;
 
   /// Marks missing entries as leaving once their grace is over; returns their
-  /// ids.
+  /// ids. Ends kCopyDoubt.
   std::vector<std::string> Expire(MonotonicTime aNow);
 
   const std::map<std::string, Entry>& Entries() const { return mEntries; }
   const Entry* Find(const std::string& aId) const;
-  std::int64_t Revision() const { return mRevision; }
-  bool IsKnown() const { return mRevision > 0; }
+  const StoreVersion& Version() const { return mVersion; }
+  bool IsKnown() const { return mVersion.IsKnown(); }
 
 private:
   struct Report
@@ -93,11 +105,21 @@
                    std::int64_t aBorn,
                    MonotonicTime aNow);
   void DropOldReports(MonotonicTime aNow);
+  /// Takes the entry of one target of the list; returns whether the target is
+  /// leaving since this list.
+  bool ApplyEntry(const Target& aTarget, MonotonicTime aNow);
+  bool BeginLeaving(Entry& aEntry, MonotonicTime aNow) const;
+  bool MayBeOlder(MonotonicTime aNow) const
+  {
+    return mEraBeganAt && aNow - *mEraBeganAt < kCopyDoubt;
+  }
 
   std::map<std::string, Entry> mEntries;
   /// Targets that reported that they are leaving.
   std::map<std::string, Report> mReports;
-  std::int64_t mRevision = 0;
+  StoreVersion mVersion;
+  /// When a list of a later era than the one before was first applied.
+  std::optional<MonotonicTime> mEraBeganAt;
   std::optional<MonotonicTime> mLastReadAt;
   /// End of the last outage.
   std::optional<MonotonicTime> mOutageEndedAt;
--- a/Source/Serving/TargetList.h
+++ b/Source/Serving/TargetList.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "Core/Settings.h"
+#include "Serving/StoreVersion.h"
 
 #include <cstdint>
 #include <map>
@@ -57,12 +58,11 @@
   }
 };
 
-/// \brief The target list at one revision of the store.
+/// \brief The target list at one version of the store.
 struct TargetList
 {
-  std::int64_t mRevision = 0;
+  StoreVersion mVersion;
   std::map<std::string, Target> mTargets;
-  MSGPACK_DEFINE_ARRAY(mRevision, mTargets)
   bool operator==(const TargetList&) const = default;
 };
 
--- a/Source/Serving/TargetListChange.cxx
+++ b/Source/Serving/TargetListChange.cxx
@@ -18,7 +18,6 @@
   TargetListChange change;
   change.mFrom = FingerprintOf(aBefore);
   change.mTo = FingerprintOf(aAfter);
-  change.mRevision = aAfter.mRevision;
   for (const auto& [id, target] : aAfter.mTargets) {
     const auto it = aBefore.mTargets.find(id);
     if (it == aBefore.mTargets.end() || it->second != target) {
@@ -34,13 +33,14 @@
 }
 
 std::optional<TargetList>
-TargetListChange::ApplyTo(const TargetList& aList) const
+TargetListChange::ApplyTo(const TargetList& aList,
+                          const StoreVersion& aVersion) const
 {
   if (FingerprintOf(aList) != mFrom) {
     return std::nullopt;
   }
   auto list = aList;
-  list.mRevision = mRevision;
+  list.mVersion = aVersion;
   for (const auto& [id, target] : mUpdated) {
     list.mTargets[id] = target;
   }
--- a/Source/Serving/TargetListChange.h
+++ b/Source/Serving/TargetListChange.h
@@ -6,8 +6,8 @@
 
 namespace ragwortdeck {
 
-/// Hash of the targets of a list without its revision, since hosts that read
-/// the store at different revisions may have the same targets.
+/// Hash of the targets of a list without its version, since hosts that read
+/// the store at different versions may have the same targets.
 std::uint64_t
 FingerprintOf(const TargetList& aList);
 
@@ -21,8 +21,8 @@
   /// Fingerprints of the lists before and after the change.
   std::uint64_t mFrom = 0;
   std::uint64_t mTo = 0;
-  /// Revision of the list after the change.
-  std::int64_t mRevision = 0;
+  /// Used only by hosts of builds before HostMessage::mListVersion.
+  std::int64_t mFormerRevision = 0;
   /// Targets that are new or differ.
   std::map<std::string, Target> mUpdated;
   /// Ids of targets that are no longer listed.
@@ -30,13 +30,14 @@
 
   static TargetListChange Between(const TargetList& aBefore,
                                   const TargetList& aAfter);
-  /// The list after the change; nothing when aList does not match the list
-  /// before it.
   /// Number of targets that it names.
   std::size_t Size() const { return mUpdated.size() + mRemoved.size(); }
-  std::optional<TargetList> ApplyTo(const TargetList& aList) const;
+  /// The list after the change, which is of aVersion; nothing when aList does
+  /// not match the list before it.
+  std::optional<TargetList> ApplyTo(const TargetList& aList,
+                                    const StoreVersion& aVersion) const;
 
-  MSGPACK_DEFINE_ARRAY(mFrom, mTo, mRevision, mUpdated, mRemoved)
+  MSGPACK_DEFINE_ARRAY(mFrom, mTo, mFormerRevision, mUpdated, mRemoved)
   bool operator==(const TargetListChange&) const = default;
 };
 
--- a/Tests/Entry/HostExchangeTest.cxx
+++ b/Tests/Entry/HostExchangeTest.cxx
@@ -263,6 +263,9 @@
     message.mHost = "h";
     message.mAllCopied = true;
     message.mCrashReport.mSound = { { "part", 5 } };
+    message.mStoreEra = { 2 };
+    message.mTableVersion = TableVersion{ 7 };
+    message.mListVersion = { { 2 }, 9 };
     const auto bytes = Pack(message);
     const auto unpackWithout = [&](std::uint32_t aLast) {
       const auto handle = UnpackBounded(bytes.data(), bytes.size());
@@ -273,11 +276,22 @@
       return read;
     };
     Section("a message of a version without reports of crashes", [&] {
-      CPPUNIT_ASSERT(unpackWithout(1).mCrashReport.IsEmpty());
-      CPPUNIT_ASSERT(unpackWithout(1).mAllCopied);
+      CPPUNIT_ASSERT(unpackWithout(4).mCrashReport.IsEmpty());
+      CPPUNIT_ASSERT(unpackWithout(4).mAllCopied);
+    });
+    Section("one of a version without eras of the store has no contents", [&] {
+      const auto read = unpackWithout(3);
+      CPPUNIT_ASSERT(read.mCrashReport == message.mCrashReport);
+      CPPUNIT_ASSERT(!read.mStoreEra.IsKnown());
+      CPPUNIT_ASSERT(!read.mTableVersion);
+      CPPUNIT_ASSERT(!read.mListVersion.IsKnown());
     });
     Section("a message of this version", [&] {
-      CPPUNIT_ASSERT(unpackWithout(0).mCrashReport == message.mCrashReport);
+      const auto read = unpackWithout(0);
+      CPPUNIT_ASSERT(read.mCrashReport == message.mCrashReport);
+      CPPUNIT_ASSERT(read.mStoreEra == message.mStoreEra);
+      CPPUNIT_ASSERT(read.mTableVersion == message.mTableVersion);
+      CPPUNIT_ASSERT(read.mListVersion == message.mListVersion);
     });
   }
 
--- a/Tests/Entry/RelayWorld.cxx
+++ b/Tests/Entry/RelayWorld.cxx
@@ -228,7 +228,7 @@
       std::vector<TeamSpec>{ { "team", { "secret" }, std::nullopt } })));
   mEntry->mTable.ConfirmCurrent({ 1 }, mEntry->Now() + std::chrono::hours(1));
   TargetList list;
-  list.mRevision = 1;
+  list.mVersion.mRevision = 1;
   for (const auto& it : mTargets) {
     const auto target = it->Describe("s");
     list.mTargets.emplace(target.mId, target);
--- a/Tests/Entry/StoreStandIn.cxx
+++ b/Tests/Entry/StoreStandIn.cxx
@@ -15,6 +15,7 @@
 constexpr unsigned kOk = 200;
 constexpr unsigned kNotFound = 404;
 constexpr unsigned kGone = 410;
+constexpr unsigned kUnavailable = 503;
 
 Json
 ToJson(const std::string& aKey, const StoreState::Item& aItem)
@@ -153,7 +154,9 @@
     }
     const auto path = url.path().toStdString();
     Answer answer;
-    if (path == "/-/kv-watch") {
+    if (mRefused.contains(aHost)) {
+      answer.mStatus = kUnavailable;
+    } else if (path == "/-/kv-watch") {
       answer = co_await Watch(aHost, state, query);
     } else {
       answer = Respond(*state, path, query, request);
--- a/Tests/Entry/StoreStandIn.h
+++ b/Tests/Entry/StoreStandIn.h
@@ -65,6 +65,8 @@
   void Leave();
   /// Comes back from aCopy, in the next era.
   void Return(StoreState aCopy);
+  /// Answers 503 to all calls of aHost.
+  void Refuse(int aHost) { mRefused.insert(aHost); }
   /// Answers aHost from a state that the store has lost; null ends that.
   void AnswerFrom(int aHost, std::shared_ptr<StoreState> aState);
   /// Delays the answers to watches of aHost until Release(); each keeps the
@@ -106,6 +108,7 @@
   std::map<int, Gateway> mGateways;
   std::set<std::shared_ptr<tcp::socket>> mSockets;
   std::set<int> mHeld;
+  std::set<int> mRefused;
   bool mIsAway = false;
   std::vector<Call> mCalls;
 };
--- a/Tests/Entry/TargetNoticeTest.cxx
+++ b/Tests/Entry/TargetNoticeTest.cxx
@@ -58,7 +58,7 @@
   void ReadList(std::int64_t aRevision, std::int64_t aBorn = 0)
   {
     TargetList list;
-    list.mRevision = aRevision;
+    list.mVersion.mRevision = aRevision;
     for (const auto& [id, entry] : Context().mTargets.Entries()) {
       auto target = entry.mTarget;
       target.mBorn = aBorn;
--- a/Tests/FleetCodec/FleetCodecTest.cxx
+++ b/Tests/FleetCodec/FleetCodecTest.cxx
@@ -194,13 +194,13 @@
           "],\"has_more\":true,\"current_rev\":530}")
         .value();
     Section("a valid entry is a target", [&] {
-      const auto& target = page.mList.mTargets.at("i-1");
+      const auto& target = page.mTargets.at("i-1");
       CPPUNIT_ASSERT(target.mEndpoint == (Endpoint{ "10.0.0.9", 8080 }));
       CPPUNIT_ASSERT(target.mLeaving);
       CPPUNIT_ASSERT_EQUAL(std::int64_t(250), target.mWarmUpMs);
     });
     Section("an invalid entry is reported and gives no target", [&] {
-      CPPUNIT_ASSERT_EQUAL(std::size_t(1), page.mList.mTargets.size());
+      CPPUNIT_ASSERT_EQUAL(std::size_t(1), page.mTargets.size());
       CPPUNIT_ASSERT_EQUAL(std::size_t(4), page.mUnreadable.size());
     });
     Section("the start of a target", [&] {
@@ -213,7 +213,7 @@
                          item("i-1", value + "\"born\":" + aBorn + "}") +
                          "],\"current_rev\":1}")
             .value()
-            .mList.mTargets;
+            .mTargets;
         const auto it = targets.find("i-1");
         return it == targets.end() ? std::nullopt
                                    : std::optional(it->second.mBorn);
@@ -231,8 +231,7 @@
           CPPUNIT_ASSERT(!targetBorn(odd));
         }
       });
-      CPPUNIT_ASSERT_EQUAL(std::int64_t(0),
-                           page.mList.mTargets.at("i-1").mBorn);
+      CPPUNIT_ASSERT_EQUAL(std::int64_t(0), page.mTargets.at("i-1").mBorn);
     });
     Section("changes name the newest state of each target", [&] {
       const auto changes =
@@ -257,7 +256,7 @@
     });
     Section("the next page begins after the last key", [&] {
       CPPUNIT_ASSERT_EQUAL(std::string("servers/i-5"), page.mNext);
-      CPPUNIT_ASSERT_EQUAL(std::int64_t(530), page.mList.mRevision);
+      CPPUNIT_ASSERT_EQUAL(std::int64_t(530), page.mRevision);
     });
   }
 
@@ -272,7 +271,7 @@
       const auto changes = codec.ReadTargetChanges(
         "{\"events\":[" + aItem + "," + good + "],\"current_rev\":3}");
       CPPUNIT_ASSERT(page && changes);
-      const auto& list = page.value().mList.mTargets;
+      const auto& list = page.value().mTargets;
       const auto& changed = changes.value().mTargets;
       CPPUNIT_ASSERT(list.contains("i-1") && changed.at("i-1"));
       const auto used = list.size() - 1;
@@ -402,7 +401,7 @@
       const auto page =
         codec.ReadTargets("{\"items\":" + items + ",\"current_rev\":3}");
       CPPUNIT_ASSERT_MESSAGE(key, page);
-      CPPUNIT_ASSERT(page.value().mList.mTargets.contains("i-1"));
+      CPPUNIT_ASSERT(page.value().mTargets.contains("i-1"));
       const auto changes =
         codec.ReadTargetChanges("{\"events\":" + items + ",\"current_rev\":3}");
       CPPUNIT_ASSERT(changes && changes.value().mTargets.at("i-1") &&
@@ -416,7 +415,7 @@
       const auto page = codec.ReadTargets(
         "{\"items\":[" + Item("\\ud83d\\ude00", kEntry) + "," +
         Item("\\ud800", kEntry) + "],\"current_rev\":3}");
-      CPPUNIT_ASSERT(page.value().mList.mTargets.contains("\xf0\x9f\x98\x80"));
+      CPPUNIT_ASSERT(page.value().mTargets.contains("\xf0\x9f\x98\x80"));
     });
   }
 
--- a/Tests/Serving/TableTest.cxx
+++ b/Tests/Serving/TableTest.cxx
@@ -41,6 +41,13 @@
     std::move(aTeams)));
 }
 
+/// A version of a store that states no era.
+StoreVersion
+AtRevision(std::int64_t aRevision)
+{
+  return { {}, aRevision };
+}
+
 Target
 MakeTarget(const std::string& aId, std::int64_t aBorn = 0)
 {
@@ -67,6 +74,8 @@
   CPPUNIT_TEST(TestRestartedTargets);
   CPPUNIT_TEST(TestReportOfUnlistedTarget);
   CPPUNIT_TEST(TestStoreOutage);
+  CPPUNIT_TEST(TestListOfLaterEra);
+  CPPUNIT_TEST(TestTargetsOfOlderCopy);
   CPPUNIT_TEST(TestListChange);
   CPPUNIT_TEST_SUITE_END();
 
@@ -194,24 +203,24 @@
   void TestLeavingTargets()
   {
     TargetDirectory directory;
-    directory.Apply({ 1, { { "t", MakeTarget("t") } } }, At(0));
+    directory.Apply({ AtRevision(1), { { "t", MakeTarget("t") } } }, At(0));
     Section("an entry that is missing while the store answers is leaving", [&] {
-      const auto left = directory.Apply({ 2, {} }, At(200));
+      const auto left = directory.Apply({ AtRevision(2), {} }, At(200));
       CPPUNIT_ASSERT(left == std::vector<std::string>{ "t" });
       CPPUNIT_ASSERT(directory.Find("t")->mLeaving);
     });
     Section("a leaving target is reported once", [&] {
-      CPPUNIT_ASSERT(directory.Apply({ 3, {} }, At(400)).empty());
+      CPPUNIT_ASSERT(directory.Apply({ AtRevision(3), {} }, At(400)).empty());
     });
     Section("an older list changes nothing", [&] {
-      directory.Apply({ 1, { { "t", MakeTarget("t") } } }, At(500));
+      directory.Apply({ AtRevision(1), { { "t", MakeTarget("t") } } }, At(500));
       CPPUNIT_ASSERT(directory.Find("t")->mLeaving);
     });
     Section("the report of a target itself overrides the list", [&] {
-      directory.Apply({ 4, { { "u", MakeTarget("u") } } }, At(600));
+      directory.Apply({ AtRevision(4), { { "u", MakeTarget("u") } } }, At(600));
       CPPUNIT_ASSERT(directory.MarkLeaving("u", 0, At(700)));
       CPPUNIT_ASSERT(!directory.MarkLeaving("u", 0, At(800)));
-      directory.Apply({ 5, { { "u", MakeTarget("u") } } }, At(900));
+      directory.Apply({ AtRevision(5), { { "u", MakeTarget("u") } } }, At(900));
       CPPUNIT_ASSERT(directory.Find("u")->mLeaving);
     });
   }
@@ -219,7 +228,8 @@
   void TestRestartedTargets()
   {
     const auto list = [](std::int64_t aRevision, std::int64_t aBorn) {
-      return TargetList{ aRevision, { { "t", MakeTarget("t", aBorn) } } };
+      return TargetList{ AtRevision(aRevision),
+                         { { "t", MakeTarget("t", aBorn) } } };
     };
     Section("a target that started again is no longer leaving", [&] {
       TargetDirectory directory;
@@ -272,10 +282,11 @@
 
   void TestReportOfUnlistedTarget()
   {
-    const TargetList listed{ 2, { { "t", MakeTarget("t", 1000) } } };
+    const TargetList listed{ AtRevision(2),
+                             { { "t", MakeTarget("t", 1000) } } };
     Section("it takes effect when the target is listed", [&] {
       TargetDirectory directory;
-      directory.Apply({ 1, {} }, At(0));
+      directory.Apply({ AtRevision(1), {} }, At(0));
       CPPUNIT_ASSERT(!directory.MarkLeaving("t", 1000, At(100)));
       const auto leaving = directory.Apply(listed, At(200));
       CPPUNIT_ASSERT(leaving == std::vector<std::string>{ "t" });
@@ -284,19 +295,19 @@
       TargetDirectory directory;
       directory.Apply(listed, At(0));
       directory.MarkLeaving("t", 1000, At(100));
-      directory.Apply({ 3, {} }, At(200));
-      directory.Apply({ 4, {} }, At(60000));
+      directory.Apply({ AtRevision(3), {} }, At(200));
+      directory.Apply({ AtRevision(4), {} }, At(60000));
       CPPUNIT_ASSERT(!directory.Find("t"));
-      directory.Apply({ 5, listed.mTargets }, At(61000));
+      directory.Apply({ AtRevision(5), listed.mTargets }, At(61000));
       CPPUNIT_ASSERT(directory.Find("t")->mLeaving);
     });
     Section("reports of any number of ids take bounded memory", [&] {
       TargetDirectory directory;
-      directory.Apply({ 1, {} }, At(0));
+      directory.Apply({ AtRevision(1), {} }, At(0));
       for (std::size_t n = 0; n <= TargetDirectory::kMaxReports; ++n) {
         directory.MarkLeaving("i-" + std::to_string(n), 0, At(100));
       }
-      TargetList list{ 2, {} };
+      TargetList list{ AtRevision(2), {} };
       for (const auto* id : { "i-0", "i-10000" }) {
         list.mTargets.emplace(id, MakeTarget(id));
       }
@@ -306,16 +317,115 @@
     });
   }
 
+  /// Guards against a list that is ignored, or targets that are given up, when
+  /// the store comes back from a copy.
+  void TestListOfLaterEra()
+  {
+    TargetDirectory directory;
+    directory.Apply({ { { 1 }, 500 },
+                      { { "t", MakeTarget("t") }, { "u", MakeTarget("u") } } },
+                    At(0));
+    Section("it replaces one of a higher revision", [&] {
+      auto leaving = MakeTarget("t");
+      leaving.mLeaving = true;
+      const auto left =
+        directory.Apply({ { { 2 }, 100 }, { { "t", leaving } } }, At(100));
+      CPPUNIT_ASSERT(left == std::vector<std::string>{ "t" });
+    });
+    Section("a target that it lacks may register again", [&] {
+      CPPUNIT_ASSERT(!directory.Find("u")->mLeaving);
+      CPPUNIT_ASSERT(directory.Expire(At(1600)).empty());
+    });
+    Section("as long as after an outage", [&] {
+      const auto left = directory.Expire(At(1700));
+      CPPUNIT_ASSERT(left == std::vector<std::string>{ "u" });
+    });
+    Section("one of an earlier era changes nothing", [&] {
+      directory.Apply({ { { 1 }, 900 }, { { "v", MakeTarget("v") } } },
+                      At(1800));
+      directory.Apply({ AtRevision(900), { { "v", MakeTarget("v") } } },
+                      At(1800));
+      CPPUNIT_ASSERT(!directory.Find("v"));
+    });
+  }
+
+  /// Guards against an older copy of the list that undoes what is known of its
+  /// targets.
+  void TestTargetsOfOlderCopy()
+  {
+    const auto listOf = [](std::int64_t aEra, const Target& aTarget) {
+      return TargetList{ { { aEra }, 100 }, { { aTarget.mId, aTarget } } };
+    };
+    const auto ready = MakeTarget("t", 1000);
+    auto leaving = ready;
+    leaving.mLeaving = true;
+    Section("a target that was leaving, or gone, stays so", [&] {
+      for (const auto& newest :
+           { listOf(1, leaving), TargetList{ { { 1 }, 101 }, {} } }) {
+        TargetDirectory directory;
+        directory.Apply(listOf(1, ready), At(0));
+        directory.Apply(newest, At(100));
+        CPPUNIT_ASSERT(directory.Apply(listOf(2, ready), At(200)).empty());
+        CPPUNIT_ASSERT(directory.Find("t")->mLeaving);
+        Section("also after a second return", [&] {
+          directory.Apply(listOf(3, ready), At(9000));
+          directory.Expire(At(10300));
+          CPPUNIT_ASSERT(directory.Find("t")->mLeaving);
+        });
+        Section("until it has been listed long enough", [&] {
+          CPPUNIT_ASSERT(directory.Expire(At(18999)).empty());
+          CPPUNIT_ASSERT(directory.Find("t")->mLeaving);
+          CPPUNIT_ASSERT(directory.Expire(At(19000)).empty());
+          CPPUNIT_ASSERT(!directory.Find("t")->mLeaving);
+        });
+      }
+    });
+    Section("one whose entry lapses is gone", [&] {
+      TargetDirectory directory;
+      directory.Apply(listOf(1, leaving), At(0));
+      directory.Apply(listOf(2, ready), At(100));
+      directory.Apply({ { { 2 }, 101 }, {} }, At(4000));
+      directory.Expire(At(20000));
+      CPPUNIT_ASSERT(directory.Find("t")->mLeaving);
+    });
+    Section("a later start is used at once", [&] {
+      TargetDirectory directory;
+      directory.Apply(listOf(1, leaving), At(0));
+      directory.Apply(listOf(2, MakeTarget("t", 2000)), At(100));
+      CPPUNIT_ASSERT(!directory.Find("t")->mLeaving);
+    });
+    Section("the end of an earlier start does not end a later one", [&] {
+      TargetDirectory directory;
+      directory.Apply(listOf(1, MakeTarget("t", 2000)), At(0));
+      CPPUNIT_ASSERT(directory.Apply(listOf(2, leaving), At(100)).empty());
+      CPPUNIT_ASSERT(!directory.Find("t")->mLeaving);
+    });
+    Section("a target that has warmed up is not cold again", [&] {
+      TargetDirectory directory;
+      auto cold = ready;
+      cold.mWarmUpMs = 900;
+      directory.Apply(listOf(1, cold), At(0));
+      directory.Apply(listOf(1, ready), At(1000));
+      directory.Apply(listOf(2, cold), At(1100));
+      CPPUNIT_ASSERT(directory.Find("t")->mWarmUpEnd <= At(1100));
+      Section("unless it has started again", [&] {
+        cold.mBorn = 2000;
+        directory.Apply(listOf(2, cold), At(1200));
+        CPPUNIT_ASSERT(directory.Find("t")->mWarmUpEnd == At(2100));
+      });
+    });
+  }
+
   void TestListChange()
   {
     TargetList before;
-    before.mRevision = 10;
+    before.mVersion = AtRevision(10);
     for (int n = 0; n < 60; ++n) {
       const auto id = "i-" + std::to_string(n);
       before.mTargets.emplace(id, MakeTarget(id));
     }
     auto after = before;
-    after.mRevision = 12;
+    after.mVersion = AtRevision(12);
     after.mTargets["i-3"].mLeaving = true;
     after.mTargets.erase("i-4");
     after.mTargets.emplace("new", MakeTarget("new"));
@@ -324,18 +434,19 @@
       CPPUNIT_ASSERT_EQUAL(std::size_t(2), change.mUpdated.size());
       CPPUNIT_ASSERT(change.mRemoved == std::vector<std::string>{ "i-4" });
     });
-    Section("applying it to the first list gives the second list",
-            [&] { CPPUNIT_ASSERT(change.ApplyTo(before) == after); });
+    Section("applying it to the first list gives the second list", [&] {
+      CPPUNIT_ASSERT(change.ApplyTo(before, after.mVersion) == after);
+    });
     Section("it cannot be applied to any other list", [&] {
       auto other = before;
       other.mTargets.erase("i-7");
-      CPPUNIT_ASSERT(!change.ApplyTo(other));
+      CPPUNIT_ASSERT(!change.ApplyTo(other, after.mVersion));
     });
     Section("it applies to the same targets at another revision", [&] {
       auto later = before;
-      later.mRevision = 99;
+      later.mVersion = AtRevision(99);
       CPPUNIT_ASSERT_EQUAL(FingerprintOf(before), FingerprintOf(later));
-      CPPUNIT_ASSERT(change.ApplyTo(later) == after);
+      CPPUNIT_ASSERT(change.ApplyTo(later, after.mVersion) == after);
     });
     Section("it is unchanged by packing and unpacking", [&] {
       msgpack::sbuffer bytes;
@@ -351,14 +462,17 @@
   {
     TargetDirectory directory;
     directory.Apply(
-      { 1, { { "t", MakeTarget("t") }, { "u", MakeTarget("u") } } }, At(0));
+      { AtRevision(1), { { "t", MakeTarget("t") }, { "u", MakeTarget("u") } } },
+      At(0));
     Section("entries that expired while the store was unavailable are kept",
             [&] {
-              CPPUNIT_ASSERT(directory.Apply({ 2, {} }, At(5000)).empty());
+              CPPUNIT_ASSERT(
+                directory.Apply({ AtRevision(2), {} }, At(5000)).empty());
               CPPUNIT_ASSERT(!directory.Find("t")->mLeaving);
             });
     Section("a target that registers again is kept", [&] {
-      directory.Apply({ 3, { { "t", MakeTarget("t") } } }, At(6000));
+      directory.Apply({ AtRevision(3), { { "t", MakeTarget("t") } } },
+                      At(6000));
       CPPUNIT_ASSERT(!directory.Find("t")->mLeaving);
     });
     Section("a target that does not is leaving within two seconds", [&] {
