Entry: Take no lease of an earlier era for one's own

Operators and hosts: after the store came back from a copy, hosts that had entered themselves since stayed missing from the host list until their lease was to be renewed, up to 150 s. A renewal by the old number then succeeded if the store had given that number to another host: its lease was prolonged, and the own entry stayed lost.

It has the era in which it was taken now; one of an earlier era is dropped at the next check, within 2 s, and the host lists itself again. An entry that was written in another era than its lease was taken in is written again as well.

--- a/Source/Entry/HostDiscovery.cxx
+++ b/Source/Entry/HostDiscovery.cxx
@@ -49,6 +49,7 @@
                         HeardHosts())) {
       continue;
     }
+    DropLostLease();
     if (!mLease.empty() &&
         mContext.Now() - mRenewedAt >= kLeaseRenewalInterval) {
       co_await Renew();
@@ -139,11 +140,14 @@
     mContext.mLog.Write("lease_unreadable", { { "why", id.error().mMessage } });
     co_return;
   }
-  if (!co_await mStore.Call(
-        codec.HostWrite(mContext.mSettings.mPeers.mAddress, id.value()))) {
+  const auto era = lease.value().mEra;
+  const auto written = co_await mStore.Call(
+    codec.HostWrite(mContext.mSettings.mPeers.mAddress, id.value()));
+  if (!written || written.value().mEra != era) {
     co_return;
   }
   mLease = id.value();
+  mLeaseEra = era;
   mRenewedAt = mContext.Now();
   // The hosts are read after the write, so that of two hosts that start
   // together at least the one that writes later sees the other.
@@ -168,6 +172,18 @@
   }
 }
 
+void
+HostDiscovery::DropLostLease()
+{
+  if (mLease.empty() || mLeaseEra == mContext.mEra.Latest()) {
+    return;
+  }
+  mContext.mLog.Write("lease_dropped",
+                      { { "lease_era", mLeaseEra.mNumber },
+                        { "era", mContext.mEra.Latest().mNumber } });
+  mLease.clear();
+}
+
 void
 HostDiscovery::RequestIntroduction()
 {
--- a/Source/Entry/HostDiscovery.h
+++ b/Source/Entry/HostDiscovery.h
@@ -44,6 +44,9 @@
   Task<void> Register();
   /// Renews the lease of this host's entry, or forgets it if it has ended.
   Task<void> Renew();
+  /// Forgets the lease of an earlier era: the store may have lost it, and given
+  /// its number to another host.
+  void DropLostLease();
   /// Makes this host known to all that it knows of, and asks one of them to
   /// introduce it to the others.
   void RequestIntroduction();
@@ -59,6 +62,7 @@
   MonotonicTime mAskedAt;
   /// The lease of this host's entry in the host list; empty when none is held.
   std::string mLease;
+  StoreEra mLeaseEra;
   MonotonicTime mRenewedAt;
 };
 
--- a/Tests/Entry/SiteFleet.cxx
+++ b/Tests/Entry/SiteFleet.cxx
@@ -161,6 +161,16 @@
   });
 }
 
+void
+SiteFleet::SendRaw(int aFrom, int aIndex, const HostMessage& aMessage)
+{
+  msgpack::sbuffer bytes;
+  msgpack::pack(bytes, aMessage);
+  udp::socket socket(mLoop, { asio::ip::make_address(AddressOf(aFrom)), 0 });
+  socket.send_to(asio::buffer(bytes.data(), bytes.size()),
+                 { asio::ip::make_address(AddressOf(aIndex)), mPort });
+}
+
 bool
 SiteFleet::All(const std::function<bool(const Host&)>& aHolds) const
 {
--- a/Tests/Entry/SiteFleet.h
+++ b/Tests/Entry/SiteFleet.h
@@ -23,6 +23,17 @@
   bool RunReady();
 };
 
+/// \brief A clock that can be moved on.
+class MovableClock : public BootClock
+{
+public:
+  MonotonicTime Now() const override { return BootClock::Now() + mMoved; }
+  void Move(Duration aBy) { mMoved += aBy; }
+
+private:
+  Duration mMoved{ 0 };
+};
+
 /// \brief Some hosts that share what they read from a stand-in of the store,
 /// each with an event loop of its own, over loopback addresses.
 class SiteFleet
@@ -63,6 +74,11 @@
   void StartAll(int aCount);
   Host& At(int aIndex) { return *mHosts.at(aIndex); }
   StoreStandIn& Store() { return *mStore; }
+  MovableClock& HostClock() { return mClock; }
+  static std::string AddressOf(int aIndex);
+  /// Sends aMessage to host aIndex from the address of host aFrom, which may be
+  /// none of those that were started.
+  void SendRaw(int aFrom, int aIndex, const HostMessage& aMessage);
   /// Runs until aDone returns true; fails the test when that takes too long.
   void RunUntil(const std::function<bool()>& aDone);
   /// Runs for aTime; aCheck is called all the while.
@@ -90,9 +106,7 @@
                    int aWarmUpMs = 0);
 
 private:
-  static std::string AddressOf(int aIndex);
-
-  BootClock mClock;
+  MovableClock mClock;
   FleetCodec mCodec;
   DecisionLog mLog;
   TestLoop mLoop;
--- a/Tests/Entry/StoreReturnTest.cxx
+++ b/Tests/Entry/StoreReturnTest.cxx
@@ -1,6 +1,7 @@
 #include "Entry/SiteFleet.h"
 #include "Support/Section.h"
 
+#include <QByteArray>
 #include <cppunit/extensions/HelperMacros.h>
 
 namespace ragwortdeck {
@@ -57,6 +58,59 @@
     [&](const SiteFleet::Host& aHost) { return !aHost.Uses(aTarget); });
 }
 
+/// The address of a host that a test speaks for.
+constexpr int kForeignHost = 90;
+
+std::string
+Packed(const std::string& aBytes)
+{
+  return qCompress(QByteArray::fromStdString(aBytes)).toStdString();
+}
+
+std::string
+PackedTable(std::int64_t aVersion, const std::vector<std::string>& aKeys)
+{
+  return Packed(SiteFleet::TableOf(aVersion, aKeys));
+}
+
+/// A list of one target.
+std::string
+PackedList(const std::string& aTarget)
+{
+  Target target;
+  target.mId = aTarget;
+  target.mService = "s";
+  target.mEndpoint = { "127.0.5.250", 9 };
+  msgpack::sbuffer bytes;
+  msgpack::pack(bytes, std::map<std::string, Target>{ { aTarget, target } });
+  return Packed({ bytes.data(), bytes.size() });
+}
+
+/// Takes leases as another writer; returns the last number.
+std::int64_t
+TakeLeases(StoreState& aState, int aCount)
+{
+  for (int i = 0; i < aCount; ++i) {
+    aState.mLeases.insert(++aState.mLastLease);
+  }
+  return aState.mLastLease;
+}
+
+/// Whether the first aCount hosts are in the store's host list, under leases
+/// with higher numbers than aAfter.
+bool
+AreListed(SiteFleet& aFleet, int aCount, std::int64_t aAfter)
+{
+  const auto& items = aFleet.Store().State().mItems;
+  for (int i = 0; i < aCount; ++i) {
+    const auto it = items.find("entry/" + SiteFleet::AddressOf(i));
+    if (it == items.end() || it->second.mLease <= aAfter) {
+      return false;
+    }
+  }
+  return true;
+}
+
 } // namespace
 
 /// \brief Tests hosts whose store comes back from an older copy of itself.
@@ -73,6 +127,14 @@
   CPPUNIT_TEST(TestTwoReturns);
   CPPUNIT_TEST(TestHangingWatches);
   CPPUNIT_TEST(TestHostAtLostStore);
+  CPPUNIT_TEST(TestFrozenHost);
+  CPPUNIT_TEST(TestLeases);
+  CPPUNIT_TEST(TestLeaseRenewedByNumber);
+  CPPUNIT_TEST(TestMessagesOfEarlierEra);
+  CPPUNIT_TEST(TestMessagesOfEarlierBuild);
+  CPPUNIT_TEST(TestStoreWithoutEra);
+  CPPUNIT_TEST(TestMalformedEras);
+  CPPUNIT_TEST(TestCallsAfterReturn);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -186,8 +248,9 @@
     fleet.RunUntil([&] { return HaveTable(fleet, 14); });
     fleet.Store().Leave();
     fleet.Store().Return(copy);
-    fleet.Store().Refuse(1);
-    fleet.Store().Refuse(2);
+    fleet.Store().mDrops = [](int aHost, const std::string&) {
+      return aHost != 0;
+    };
     const auto revision = fleet.WriteTable(19, keys);
     CPPUNIT_ASSERT(revision <= copy.mRevision + 1);
     Section("hosts that the store refuses get the next table in parts", [&] {
@@ -388,6 +451,270 @@
       CPPUNIT_ASSERT(NoneUses(fleet, "u"));
     });
   }
+
+  /// Guards against a host that missed the lost table, and takes the copy for
+  /// the newest.
+  void TestFrozenHost()
+  {
+    SiteFleet fleet;
+    fleet.WriteTable(10, { "removed", "steady" });
+    fleet.WriteTarget("t");
+    fleet.StartAll(3);
+    const auto copy = fleet.Store().State();
+    auto& frozen = fleet.At(2);
+    frozen.mIsFrozen = true;
+    fleet.WriteTable(14, { "steady" });
+    fleet.WriteTarget("t", "draining");
+    fleet.RunFor(kLongerThanProof);
+    CPPUNIT_ASSERT_EQUAL(std::int64_t(14), fleet.At(0).TableVersion());
+    fleet.Store().Leave();
+    fleet.Store().Return(copy);
+    fleet.RunFor(milliseconds(500));
+    frozen.mIsFrozen = false;
+    fleet.RunUntil([&] {
+      CPPUNIT_ASSERT(!frozen.Admits("removed"));
+      return frozen.Admits("steady");
+    });
+    CPPUNIT_ASSERT_EQUAL(std::int64_t(14), frozen.TableVersion());
+  }
+
+  /// Guards against entries of the host list that stay lost.
+  void TestLeases()
+  {
+    SiteFleet fleet;
+    fleet.WriteTable(10, { "steady" });
+    fleet.WriteTarget("t");
+    const auto copy = fleet.Store().State();
+    fleet.StartAll(3);
+    fleet.RunUntil([&] { return AreListed(fleet, 3, 0); });
+    fleet.Store().Leave();
+    fleet.Store().Return(copy);
+    auto& state = fleet.Store().State();
+    const auto others = TakeLeases(state, 3);
+    fleet.RunUntil([&] { return AreListed(fleet, 3, others); });
+    CPPUNIT_ASSERT_EQUAL(std::size_t(0), fleet.Store().CountCalls("/kv-keep/"));
+  }
+
+  /// Guards against a lease whose number is another's in the later era.
+  void TestLeaseRenewedByNumber()
+  {
+    SiteFleet fleet;
+    fleet.WriteTable(10, { "steady" });
+    fleet.WriteTarget("t");
+    const auto copy = fleet.Store().State();
+    fleet.StartAll(3);
+    fleet.RunUntil([&] { return AreListed(fleet, 3, 0); });
+    fleet.Store().Return(copy);
+    const auto others = TakeLeases(fleet.Store().State(), 3);
+    fleet.Store().mDrops = [](int, const std::string& aTarget) {
+      return aTarget.find("/kv-keep/") == std::string::npos;
+    };
+    fleet.HostClock().Move(std::chrono::minutes(3));
+    Section("a renewal is the first call that reaches the later era", [&] {
+      fleet.RunUntil([&] { return fleet.Store().CountCalls("/kv-keep/") > 0; });
+    });
+    Section("its host lists itself again, under a lease of its own", [&] {
+      fleet.Store().mDrops = [](int, const std::string&) { return false; };
+      fleet.RunUntil([&] { return AreListed(fleet, 3, others); });
+    });
+  }
+
+  /// Guards against contents and proofs of hosts that are behind.
+  void TestMessagesOfEarlierEra()
+  {
+    SiteFleet fleet;
+    fleet.WriteTable(10, { "removed", "steady" });
+    fleet.WriteTarget("t");
+    fleet.StartAll(2);
+    auto& host = fleet.At(0);
+    const auto copy = fleet.Store().State();
+    fleet.Store().Return(copy);
+    fleet.RunUntil([&] {
+      return fleet.All([](const SiteFleet::Host& aHost) {
+        return aHost.mContext->mTargets.Version().mEra == StoreEra{ 2 };
+      });
+    });
+    const auto message = [&](std::int64_t aEra) {
+      HostMessage it;
+      it.mHost = SiteFleet::AddressOf(kForeignHost);
+      it.mIncarnation = 99;
+      it.mSentAt = host.mContext->Now().time_since_epoch().count();
+      it.mFailureDomain = "a";
+      it.mStoreEra = { aEra };
+      it.mTableVersion = TableVersion{ 10 };
+      it.mListVersion = { { aEra }, 999 };
+      it.mListFingerprint = 1;
+      it.mList = PackedList("foreign");
+      return it;
+    };
+    const auto send = [&](const HostMessage& aMessage) {
+      const auto before = host.mExchange->Peers().size();
+      fleet.SendRaw(kForeignHost, 0, aMessage);
+      fleet.RunFor(milliseconds(before == 1 ? 100 : 30));
+      CPPUNIT_ASSERT(host.mExchange->Peers().contains(aMessage.mHost));
+    };
+    Section("a list of an earlier era is ignored", [&] {
+      send(message(1));
+      send(message(StoreEra::kUnknown));
+      CPPUNIT_ASSERT(!host.Uses("foreign"));
+      CPPUNIT_ASSERT(host.Uses("t"));
+    });
+    Section("so is a proof", [&] {
+      fleet.Store().Leave();
+      fleet.RunUntil([&] { return !host.Admits("steady"); });
+      auto proof = message(1);
+      proof.mProvenIncarnation = host.mExchange->Incarnation();
+      proof.mProvenAt = host.mContext->Now().time_since_epoch().count();
+      send(proof);
+      CPPUNIT_ASSERT(!host.Admits("steady"));
+      Section("while one of the latest era counts", [&] {
+        proof.mStoreEra = { 2 };
+        proof.mListVersion = {};
+        proof.mSentAt = host.mContext->Now().time_since_epoch().count();
+        proof.mProvenAt = proof.mSentAt;
+        send(proof);
+        CPPUNIT_ASSERT(host.Admits("steady"));
+      });
+    });
+    Section("a newer table is taken from any era", [&] {
+      auto newer = message(1);
+      newer.mTableVersion = TableVersion{ 12 };
+      newer.mTable = PackedTable(12, { "steady" });
+      send(newer);
+      CPPUNIT_ASSERT_EQUAL(std::int64_t(12), host.TableVersion());
+      CPPUNIT_ASSERT(!host.Admits("removed"));
+    });
+    Section("a list of a later era is taken", [&] {
+      send(message(3));
+      CPPUNIT_ASSERT(host.Uses("foreign"));
+    });
+  }
+
+  /// Guards against messages of builds that state revisions only.
+  void TestMessagesOfEarlierBuild()
+  {
+    for (const bool statesEra : { true, false }) {
+      SiteFleet fleet;
+      if (!statesEra) {
+        fleet.Store().mWriteEra = [](int, std::int64_t, http::fields&) {};
+      }
+      fleet.WriteTable(10, { "removed", "steady" });
+      fleet.WriteTarget("t");
+      fleet.StartAll(2);
+      auto& host = fleet.At(0);
+      fleet.Store().Leave();
+      fleet.RunUntil([&] { return !host.Admits("steady"); });
+      HostMessage message;
+      message.mHost = SiteFleet::AddressOf(kForeignHost);
+      message.mIncarnation = 99;
+      message.mSentAt = host.mContext->Now().time_since_epoch().count();
+      message.mFailureDomain = "a";
+      message.mFormerTableRevision = 999;
+      message.mFormerListRevision = 999;
+      message.mTable = PackedTable(12, { "foreign" });
+      message.mList = PackedList("foreign");
+      message.mTableRead = true;
+      message.mListRead = true;
+      message.mProvenIncarnation = host.mExchange->Incarnation();
+      message.mProvenAt = message.mSentAt;
+      fleet.SendRaw(kForeignHost, 0, message);
+      fleet.RunUntil(
+        [&] { return host.mExchange->Peers().contains(message.mHost); });
+      CPPUNIT_ASSERT_EQUAL(std::int64_t(10), host.TableVersion());
+      CPPUNIT_ASSERT(!host.Admits("steady") && !host.Admits("foreign"));
+      CPPUNIT_ASSERT(host.Uses("t") && !host.Uses("foreign"));
+    }
+  }
+
+  /// Guards against a change of what a store without eras is used for.
+  void TestStoreWithoutEra()
+  {
+    SiteFleet fleet;
+    fleet.Store().mWriteEra = [](int, std::int64_t, http::fields&) {};
+    fleet.WriteTable(10, { "removed", "steady" });
+    fleet.WriteTarget("t");
+    fleet.StartAll(3);
+    fleet.WriteTable(14, { "steady" });
+    fleet.WriteTarget("t", "draining");
+    fleet.WriteTarget("u");
+    fleet.RunUntil([&] {
+      return HaveTable(fleet, 14) && NoneUses(fleet, "t") && AllUse(fleet, "u");
+    });
+    CPPUNIT_ASSERT(NoneAdmits(fleet, "removed"));
+    CPPUNIT_ASSERT(AllAdmit(fleet, "steady"));
+    for (const auto* name : { "entry_store_answers_without_era_total",
+                              "entry_outdated_store_answers_total",
+                              "entry_store_returns_total" }) {
+      CPPUNIT_ASSERT(fleet.All([&](const SiteFleet::Host& aHost) {
+        return aHost.mContext->mMetrics.Value(name) == 0;
+      }));
+    }
+  }
+
+  /// Guards against answers without a usable era that move a host back.
+  void TestMalformedEras()
+  {
+    for (const char* text : { "", "x", "-7", "99999999999999999999", "1" }) {
+      Section(std::string("a host is told \"") + text + "\"", [&] {
+        SiteFleet fleet;
+        fleet.Store().State().mEra = 2;
+        fleet.WriteTable(10, { "removed", "steady" });
+        fleet.WriteTarget("t");
+        fleet.StartAll(2);
+        const auto lost = std::make_shared<StoreState>(fleet.Store().State());
+        lost->mRevision += 50;
+        fleet.WriteTable(14, { "steady" });
+        fleet.WriteTarget("t", "draining");
+        fleet.RunUntil(
+          [&] { return HaveTable(fleet, 14) && NoneUses(fleet, "t"); });
+        fleet.Store().AnswerFrom(0, lost);
+        fleet.Store().mWriteEra =
+          [&](int aHost, std::int64_t aEra, http::fields& aFields) {
+            aFields.set("Store-Era", aHost == 0 ? text : std::to_string(aEra));
+          };
+        const auto& host = fleet.At(0);
+        const std::string counted = std::string(text) == "1"
+                                      ? "entry_outdated_store_answers_total"
+                                      : "entry_store_answers_without_era_total";
+        fleet.RunUntil([&] {
+          CPPUNIT_ASSERT_EQUAL(std::int64_t(14), host.TableVersion());
+          CPPUNIT_ASSERT(!host.Uses("t") && !host.Admits("removed"));
+          CPPUNIT_ASSERT(AllAdmit(fleet, "steady"));
+          return host.mContext->mMetrics.Value(counted) >= 5;
+        });
+        CPPUNIT_ASSERT(host.mContext->mEra.Latest() == StoreEra{ 2 });
+      });
+    }
+  }
+
+  /// Guards against a rush of all hosts to the store once it is back.
+  void TestCallsAfterReturn()
+  {
+    constexpr int kHosts = 12;
+    SiteFleet fleet;
+    fleet.WriteTable(10, { "steady" });
+    fleet.WriteTarget("t");
+    fleet.StartAll(kHosts);
+    const auto copy = fleet.Store().State();
+    fleet.WriteTable(14, { "steady" });
+    fleet.WriteTarget("u");
+    fleet.RunUntil([&] { return HaveTable(fleet, 14); });
+    fleet.Store().Leave();
+    fleet.RunFor(milliseconds(1000));
+    const auto wholeReads = fleet.Store().CountCalls("path_prefix=servers/") -
+                            fleet.Store().CountCalls("/kv-watch");
+    fleet.Store().Return(copy);
+    fleet.RunUntil([&] {
+      return fleet.All([](const SiteFleet::Host& aHost) {
+        return aHost.mContext->mTargets.Version().mEra == StoreEra{ 2 };
+      });
+    });
+    fleet.RunFor(milliseconds(1000));
+    const auto after = fleet.Store().CountCalls("path_prefix=servers/") -
+                       fleet.Store().CountCalls("/kv-watch");
+    CPPUNIT_ASSERT(after > wholeReads);
+    CPPUNIT_ASSERT(after - wholeReads < kHosts / 2);
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(StoreReturnTest);
--- a/Tests/Entry/StoreStandIn.cxx
+++ b/Tests/Entry/StoreStandIn.cxx
@@ -15,7 +15,6 @@
 constexpr unsigned kOk = 200;
 constexpr unsigned kNotFound = 404;
 constexpr unsigned kGone = 410;
-constexpr unsigned kUnavailable = 503;
 
 Json
 ToJson(const std::string& aKey, const StoreState::Item& aItem)
@@ -63,7 +62,8 @@
 }
 
 StoreStandIn::StoreStandIn(asio::io_context& aContext)
-  : mWriteEra([](std::int64_t aEra, http::fields& aFields) {
+  : mDrops([](int, const std::string&) { return false; })
+  , mWriteEra([](int, std::int64_t aEra, http::fields& aFields) {
     aFields.set("Store-Era", std::to_string(aEra));
   })
   , mContext(aContext)
@@ -146,17 +146,19 @@
     }
     const auto lost = mGateways[aHost].mState;
     const auto state = lost ? lost : mState;
-    const QUrl url(QString::fromStdString(std::string(request.target())));
+    const std::string target(request.target());
+    const QUrl url(QString::fromStdString(target));
     std::map<std::string, std::string> query;
     for (const auto& [name, value] :
          QUrlQuery(url).queryItems(QUrl::FullyDecoded)) {
       query[name.toStdString()] = value.toStdString();
     }
     const auto path = url.path().toStdString();
+    if (mDrops(aHost, target)) {
+      break;
+    }
     Answer answer;
-    if (mRefused.contains(aHost)) {
-      answer.mStatus = kUnavailable;
-    } else if (path == "/-/kv-watch") {
+    if (path == "/-/kv-watch") {
       answer = co_await Watch(aHost, state, query);
     } else {
       answer = Respond(*state, path, query, request);
@@ -164,11 +166,11 @@
     if (mIsAway) {
       break;
     }
-    mCalls.push_back({ aHost, std::string(request.target()) });
+    mCalls.push_back({ aHost, target });
     http::response<http::string_body> response;
     response.version(11);
     response.result(answer.mStatus);
-    mWriteEra(state->mEra, response);
+    mWriteEra(aHost, state->mEra, response);
     response.body() = answer.mBody.dump();
     response.prepare_payload();
     co_await http::async_write(*aSocket, response, RedirectError(ec));
--- a/Tests/Entry/StoreStandIn.h
+++ b/Tests/Entry/StoreStandIn.h
@@ -65,16 +65,18 @@
   void Leave();
   /// Comes back from aCopy, in the next era.
   void Return(StoreState aCopy);
-  /// Answers 503 to all calls of aHost.
-  void Refuse(int aHost) { mRefused.insert(aHost); }
   /// Answers aHost from a state that the store has lost; null ends that.
   void AnswerFrom(int aHost, std::shared_ptr<StoreState> aState);
   /// Delays the answers to watches of aHost until Release(); each keeps the
   /// era and content of the state that it was asked of.
   void HoldWatches(int aHost) { mHeld.insert(aHost); }
   void Release(int aHost) { mHeld.erase(aHost); }
-  /// Writes the header that states the era; by default its number.
-  std::function<void(std::int64_t, http::fields&)> mWriteEra;
+  /// Whether a call of a host, by its target, ends without an answer; none does
+  /// by default.
+  std::function<bool(int, const std::string&)> mDrops;
+  /// Writes the header that states the era in an answer to a host; by default
+  /// its number.
+  std::function<void(int, std::int64_t, http::fields&)> mWriteEra;
   /// All calls so far, each when it was answered.
   const std::vector<Call>& Calls() const { return mCalls; }
   /// Number of calls so far whose target contains aPart.
@@ -108,7 +110,6 @@
   std::map<int, Gateway> mGateways;
   std::set<std::shared_ptr<tcp::socket>> mSockets;
   std::set<int> mHeld;
-  std::set<int> mRefused;
   bool mIsAway = false;
   std::vector<Call> mCalls;
 };
