Entry, Serving: Confirm no table that others may know to be outdated

Callers: a host that starts, or was cut off, while the store is a copy with an older table admitted keys that other hosts knew to be removed, until it heard from one of them. Cut off from the others, it did so for as long as the store had the older table.

Cause: a read that finds the host's own table confirmed it, though the read says nothing about a table that the store has lost. A host whose table was current when it learned of the era has missed nothing that the others know; any other one now confirms none before it has heard from another host since, or has heard of nobody for 2 s, twice the time between two messages of a host. No table is confirmed while a newer version is known to exist.

The store without eras never begins one, so nothing changes there. A host that starts alone with a store that states its era refuses keyed requests 2 s longer.

--- a/Source/Entry/SiteFeed.cxx
+++ b/Source/Entry/SiteFeed.cxx
@@ -140,6 +140,7 @@
   mContext.mOnEraBegan = [this] {
     // They come from reads of an earlier era.
     mProofs.clear();
+    mContext.mTable.BeginEra(mContext.Now());
   };
   mContext.mCrashWatch.mOnReport = [this](const CrashReport& aReport,
                                           bool aHasNews) {
@@ -858,6 +859,10 @@
   const bool isCurrent =
     mContext.ObserveEra(aMessage.mStoreEra, aMessage.mHost) !=
     EraTracker::Outcome::kOutdated;
+  // Messages that only carry loads, and those of earlier builds, state neither.
+  if (aMessage.mTableVersion || aMessage.mStoreEra.IsKnown()) {
+    mContext.mTable.HostHeard(aMessage.mTableVersion);
+  }
   mContext.mLoad.SetPeer(aMessage.mHost, aMessage.mLoads, now);
   mDiscovery.Handle(aMessage);
   if (!aMessage.mDeparting.empty() && mOnDeparting) {
--- a/Source/Serving/CachedTable.cxx
+++ b/Source/Serving/CachedTable.cxx
@@ -1,5 +1,7 @@
 #include "Serving/CachedTable.h"
 
+#include <algorithm>
+
 namespace ragwortdeck {
 
 bool
@@ -22,14 +24,33 @@
 CachedTable::ConfirmCurrent(TableVersion aVersion, MonotonicTime aAt)
 {
   // The confirmation of another version says nothing about this table.
-  if (aVersion != Version()) {
+  if (aVersion != Version() || Version() < mNewestHeard) {
+    return;
+  }
+  if (mSearchBegan && aAt - *mSearchBegan < kHostSearch) {
     return;
   }
+  mSearchBegan.reset();
   if (!mConfirmedAt || *mConfirmedAt < aAt) {
     mConfirmedAt = aAt;
   }
 }
 
+void
+CachedTable::BeginEra(MonotonicTime aNow)
+{
+  if (!AcceptsKeyedRequests(aNow)) {
+    mSearchBegan = aNow;
+  }
+}
+
+void
+CachedTable::HostHeard(std::optional<TableVersion> aVersion)
+{
+  mNewestHeard = std::max(mNewestHeard, aVersion);
+  mSearchBegan.reset();
+}
+
 bool
 CachedTable::AcceptsKeyedRequests(MonotonicTime aNow) const
 {
--- a/Source/Serving/CachedTable.h
+++ b/Source/Serving/CachedTable.h
@@ -35,9 +35,18 @@
 /// Covers the case that the store refuses this host while an operator revokes
 /// team keys: requests that need a key are admitted only if the table was
 /// confirmed as current less than Bounds::mMaxKeyedAge ago.
+///
+/// When the store comes back from an older copy, it may lack a table that other
+/// hosts have. So no table is confirmed while a newer one is known to exist;
+/// and a host whose table was not known to be current when the era began
+/// confirms none before it has heard from another host, for at most
+/// kHostSearch.
 class CachedTable
 {
 public:
+  /// Hosts send to each other at least once a second.
+  static constexpr Duration kHostSearch = std::chrono::seconds(2);
+
   struct Bounds
   {
     /// Maximum time since the table was confirmed for requests that need a
@@ -59,6 +68,10 @@
   bool Apply(std::shared_ptr<const ServingTable> aTable);
   /// Records that at aAt the store had no table newer than aVersion.
   void ConfirmCurrent(TableVersion aVersion, MonotonicTime aAt);
+  /// A later era of the store has begun, as far as this host knows.
+  void BeginEra(MonotonicTime aNow);
+  /// Another host stated the version of its table; nothing if it has none.
+  void HostHeard(std::optional<TableVersion> aVersion);
 
   /// Looks up the route and team of a request; aKey is empty when the request
   /// carries none.
@@ -82,6 +95,9 @@
   Bounds mBounds;
   std::shared_ptr<const ServingTable> mTable;
   std::optional<MonotonicTime> mConfirmedAt;
+  std::optional<TableVersion> mNewestHeard;
+  /// When this host began to wait for another one; unset while it does not.
+  std::optional<MonotonicTime> mSearchBegan;
 };
 
 } // namespace ragwortdeck
--- a/Tests/Entry/StoreReturnTest.cxx
+++ b/Tests/Entry/StoreReturnTest.cxx
@@ -127,6 +127,7 @@
   CPPUNIT_TEST(TestTwoReturns);
   CPPUNIT_TEST(TestHangingWatches);
   CPPUNIT_TEST(TestHostAtLostStore);
+  CPPUNIT_TEST(TestStartingHost);
   CPPUNIT_TEST(TestFrozenHost);
   CPPUNIT_TEST(TestLeases);
   CPPUNIT_TEST(TestLeaseRenewedByNumber);
@@ -452,6 +453,38 @@
     });
   }
 
+  /// Guards against a host that learns the table of the copy when it starts,
+  /// while others have a newer one.
+  void TestStartingHost()
+  {
+    SiteFleet fleet;
+    fleet.WriteTable(10, { "removed", "steady" });
+    fleet.WriteTarget("t");
+    fleet.StartAll(3);
+    const auto copy = fleet.Store().State();
+    fleet.WriteTable(14, { "steady" });
+    fleet.RunUntil([&] { return HaveTable(fleet, 14); });
+    fleet.Store().Leave();
+    fleet.Store().Return(copy);
+    Section("it gets the newer one from them", [&] {
+      const auto& host = fleet.Start(3);
+      fleet.RunUntil([&] {
+        CPPUNIT_ASSERT(!host.Admits("removed"));
+        return host.Admits("steady");
+      });
+      CPPUNIT_ASSERT_EQUAL(std::int64_t(14), host.TableVersion());
+    });
+    Section("one that hears from nobody waits before it trusts the copy", [&] {
+      const auto& host = fleet.Start(4, true);
+      fleet.RunUntil([&] { return host.TableVersion() == 10; });
+      fleet.RunFor(milliseconds(1500), [&] {
+        CPPUNIT_ASSERT(!host.Admits("removed"));
+        CPPUNIT_ASSERT(host.Admits("", "look"));
+      });
+      fleet.RunUntil([&] { return host.Admits("steady"); });
+    });
+  }
+
   /// Guards against a host that missed the lost table, and takes the copy for
   /// the newest.
   void TestFrozenHost()
--- a/Tests/Serving/TableTest.cxx
+++ b/Tests/Serving/TableTest.cxx
@@ -69,6 +69,7 @@
   CPPUNIT_TEST(TestWeightedServices);
   CPPUNIT_TEST(TestTableVersions);
   CPPUNIT_TEST(TestTableAge);
+  CPPUNIT_TEST(TestTableInLaterEra);
   CPPUNIT_TEST(TestTableThatRevokesAllKeys);
   CPPUNIT_TEST(TestLeavingTargets);
   CPPUNIT_TEST(TestRestartedTargets);
@@ -159,6 +160,67 @@
     });
   }
 
+  /// Guards against a table of an older copy that counts as the newest one.
+  void TestTableInLaterEra()
+  {
+    const std::vector<TeamSpec> teams = { { "team", { "k" }, std::nullopt } };
+    const auto accepts = [](const CachedTable& aTable, int aMs) {
+      return aTable.AcceptsKeyedRequests(At(aMs));
+    };
+    Section("a host that was up to date goes on", [&] {
+      CachedTable cached({ milliseconds(4700), milliseconds(1700) });
+      cached.Apply(MakeTable(5, teams));
+      cached.ConfirmCurrent({ 5 }, At(10000));
+      cached.BeginEra(At(11000));
+      cached.ConfirmCurrent({ 5 }, At(11100));
+      CPPUNIT_ASSERT(accepts(cached, 15700));
+    });
+    Section("one that was not waits to hear from another host", [&] {
+      CachedTable cached({ milliseconds(4700), milliseconds(1700) });
+      cached.Apply(MakeTable(5, teams));
+      cached.ConfirmCurrent({ 5 }, At(10000));
+      cached.BeginEra(At(15000));
+      cached.ConfirmCurrent({ 5 }, At(16999));
+      CPPUNIT_ASSERT(!accepts(cached, 16999));
+      Section("which has the same table", [&] {
+        auto other = cached;
+        other.HostHeard(TableVersion{ 5 });
+        other.ConfirmCurrent({ 5 }, At(16999));
+        CPPUNIT_ASSERT(accepts(other, 16999));
+      });
+      Section("which has none, as when all hosts start", [&] {
+        auto other = cached;
+        other.HostHeard(std::nullopt);
+        other.ConfirmCurrent({ 5 }, At(16999));
+        CPPUNIT_ASSERT(accepts(other, 16999));
+      });
+      Section("which has a newer one: it is needed first", [&] {
+        auto other = cached;
+        other.HostHeard(TableVersion{ 7 });
+        other.HostHeard(TableVersion{ 4 });
+        other.ConfirmCurrent({ 5 }, At(30000));
+        CPPUNIT_ASSERT(!accepts(other, 30000));
+        CPPUNIT_ASSERT(other.Apply(MakeTable(7, teams)));
+        other.ConfirmCurrent({ 7 }, At(30000));
+        CPPUNIT_ASSERT(accepts(other, 30000));
+      });
+      Section("or until it has heard of nobody for long enough", [&] {
+        cached.ConfirmCurrent({ 5 }, At(17000));
+        CPPUNIT_ASSERT(accepts(cached, 17000));
+        cached.ConfirmCurrent({ 5 }, At(17001));
+        CPPUNIT_ASSERT(accepts(cached, 17001));
+      });
+    });
+    Section("the first era that a starting host learns of is no exception",
+            [&] {
+              CachedTable cached({ milliseconds(4700), milliseconds(1700) });
+              cached.BeginEra(At(0));
+              cached.Apply(MakeTable(5, teams));
+              cached.ConfirmCurrent({ 5 }, At(100));
+              CPPUNIT_ASSERT(!accepts(cached, 100));
+            });
+  }
+
   /// Guards against routes that are open to everybody once all teams, or all
   /// keys, are removed.
   void TestTableThatRevokesAllKeys()
