--- a/Source/Entry/CallerSession.cxx
+++ b/Source/Entry/CallerSession.cxx
@@ -674,6 +674,7 @@
         proven ? std::chrono::duration_cast<Milliseconds>(now - *proven).count()
                : -1 },
       { "list_revision", mContext.mTargets.Version().mRevision },
+      { "list_era", mContext.mTargets.Version().mEra.mNumber },
       { "hosts", mContext.mCountHosts ? mContext.mCountHosts() : 1 } });
 }
 
