Entry: Hand out no proof of a table that one's own host doubts

A host that knows of a newer table than its own, or still waits to hear from another host, did not count its own reads, but told others that they prove this table to be current. It withholds these now.

A table read at revision 0 before any other counted as read already, so that the version of no table was taken: the place of the last read is unset at first. The log line on a refused era states why for all cases.

TestHostAtLostStore checks that reads of the lost store prove nothing.

--- a/Source/Entry/SiteFeed.cxx
+++ b/Source/Entry/SiteFeed.cxx
@@ -240,8 +240,9 @@
     }
   }
   // The store's table is this host's, or an older one of a copy.
-  mContext.mTable.ConfirmCurrent(*mContext.mTable.Version(), readStart);
-  mProofs = std::move(proofs);
+  if (mContext.mTable.ConfirmCurrent(*mContext.mTable.Version(), readStart)) {
+    mProofs = std::move(proofs);
+  }
   if (isNewer) {
     SendTable([this](const auto& aAdd) {
       mExchange.Broadcast(
@@ -718,14 +719,13 @@
   if (!IsNewerList(version)) {
     return;
   }
-  if (aMessage.mListFingerprint == mListFingerprint &&
-      version.mEra == mList.mVersion.mEra) {
-    // The sender read the same targets at a later revision.
-    mList.mVersion = version;
-    return;
-  }
   if (aMessage.mListFingerprint == mListFingerprint) {
-    ApplyTargetList({ version, mList.mTargets });
+    // The sender read the same targets later.
+    if (version.mEra == mList.mVersion.mEra) {
+      mList.mVersion = version;
+    } else {
+      ApplyTargetList({ version, mList.mTargets });
+    }
     return;
   }
   for (const auto& change : aMessage.mListChange) {
--- a/Source/Entry/SiteFeed.h
+++ b/Source/Entry/SiteFeed.h
@@ -128,7 +128,7 @@
   /// The compressed bytes of the table's value in the store, for other hosts.
   std::string mTableContent;
   /// Where in the store this host last read a table, newer or not.
-  StoreVersion mTableReadAt;
+  std::optional<StoreVersion> mTableReadAt;
   TargetList mList;
   std::uint64_t mListFingerprint = 0;
   /// The compressed mList, for other hosts; built when the first one needs it.
--- a/Source/Entry/StoreClient.cxx
+++ b/Source/Entry/StoreClient.cxx
@@ -59,10 +59,13 @@
                             ? "entry_outdated_store_answers_total"
                             : "entry_store_answers_without_era_total");
   if (!std::exchange(mEraWasBad, true)) {
+    const auto why = !read           ? read.error().mMessage
+                     : era.IsKnown() ? "earlier era"
+                                     : "no era stated";
     mContext.mLog.Write("store_era_refused",
                         { { "era", era.mNumber },
                           { "latest", mContext.mEra.Latest().mNumber },
-                          { "why", read ? "" : read.error().mMessage },
+                          { "why", why },
                           { "used", !isOutdated } });
   }
   return isOutdated ? std::nullopt : std::optional(era);
--- a/Source/Serving/CachedTable.cxx
+++ b/Source/Serving/CachedTable.cxx
@@ -20,20 +20,21 @@
   return mTable ? std::optional(mTable->Version()) : std::nullopt;
 }
 
-void
+bool
 CachedTable::ConfirmCurrent(TableVersion aVersion, MonotonicTime aAt)
 {
   // The confirmation of another version says nothing about this table.
   if (aVersion != Version() || Version() < mNewestHeard) {
-    return;
+    return false;
   }
   if (mSearchBegan && aAt - *mSearchBegan < kHostSearch) {
-    return;
+    return false;
   }
   mSearchBegan.reset();
   if (!mConfirmedAt || *mConfirmedAt < aAt) {
     mConfirmedAt = aAt;
   }
+  return true;
 }
 
 void
--- a/Source/Serving/CachedTable.h
+++ b/Source/Serving/CachedTable.h
@@ -66,8 +66,9 @@
   /// table never goes back to an older version, not even if the store does.
   /// Returns true when the table was replaced.
   bool Apply(std::shared_ptr<const ServingTable> aTable);
-  /// Records that at aAt the store had no table newer than aVersion.
-  void ConfirmCurrent(TableVersion aVersion, MonotonicTime aAt);
+  /// Records that at aAt the store had no table newer than aVersion. Returns
+  /// whether that proves that the table was current.
+  bool ConfirmCurrent(TableVersion aVersion, MonotonicTime aAt);
   /// A later era of the store has begun, as far as this host knows.
   void BeginEra(MonotonicTime aNow);
   /// Another host stated the version of its table; nothing if it has none.
--- a/Tests/Entry/StoreReturnTest.cxx
+++ b/Tests/Entry/StoreReturnTest.cxx
@@ -111,6 +111,22 @@
   return true;
 }
 
+/// Whether the first aCount hosts have read the host list after they wrote
+/// their entries, which ends a registration.
+bool
+HaveRegistered(SiteFleet& aFleet, int aCount)
+{
+  std::set<int> hosts;
+  for (const auto& call : aFleet.Store().Calls()) {
+    if (call.mTarget.find("path_prefix=entry/") != std::string::npos &&
+        call.mTarget.find("allow_stale") == std::string::npos) {
+      hosts.insert(call.mHost);
+    }
+  }
+  return AreListed(aFleet, aCount, 0) &&
+         hosts.size() == static_cast<std::size_t>(aCount);
+}
+
 } // namespace
 
 /// \brief Tests hosts whose store comes back from an older copy of itself.
@@ -123,6 +139,7 @@
   CPPUNIT_TEST(TestTableInParts);
   CPPUNIT_TEST(TestRevisionBelowLostList);
   CPPUNIT_TEST(TestRevisionOfLostList);
+  CPPUNIT_TEST(TestWatchAnsweredInLaterEra);
   CPPUNIT_TEST(TestTargetsOfCopy);
   CPPUNIT_TEST(TestTwoReturns);
   CPPUNIT_TEST(TestHangingWatches);
@@ -309,6 +326,40 @@
     CPPUNIT_ASSERT(AllUse(fleet, "u"));
   }
 
+  /// Guards against changes of a later era that are put on a list of an earlier
+  /// one.
+  void TestWatchAnsweredInLaterEra()
+  {
+    SiteFleet fleet;
+    fleet.WriteTable(10, { "steady" });
+    fleet.WriteTarget("t");
+    fleet.StartAll(2);
+    const auto copy = fleet.Store().State();
+    fleet.WriteTarget("t", "draining");
+    fleet.RunUntil([&] { return NoneUses(fleet, "t"); });
+    const auto isWatch = [](const std::string& aTarget) {
+      return aTarget.find("/kv-watch") != std::string::npos;
+    };
+    fleet.Store().mDrops = [&](int, const std::string& aTarget) {
+      return !isWatch(aTarget);
+    };
+    fleet.Store().Return(copy);
+    // A write of the target that was under way before.
+    fleet.WriteTarget("u");
+    fleet.WriteTarget("t");
+    fleet.RunUntil([&] {
+      CPPUNIT_ASSERT(NoneUses(fleet, "t"));
+      return fleet.At(0).mContext->mEra.Latest() == StoreEra{ 2 };
+    });
+    fleet.RunFor(milliseconds(500),
+                 [&] { CPPUNIT_ASSERT(NoneUses(fleet, "t")); });
+    fleet.Store().mDrops = [](int, const std::string&) { return false; };
+    fleet.RunUntil([&] {
+      CPPUNIT_ASSERT(NoneUses(fleet, "t"));
+      return AllUse(fleet, "u");
+    });
+  }
+
   /// Guards against what the list of a copy says of targets that changed after
   /// it.
   void TestTargetsOfCopy()
@@ -451,6 +502,12 @@
       });
       CPPUNIT_ASSERT(NoneUses(fleet, "u"));
     });
+    Section("but the lost store proves nothing", [&] {
+      fleet.At(2).mIsFrozen = true;
+      fleet.RunUntil([&] {
+        return !fleet.At(0).Admits("steady") && !fleet.At(1).Admits("steady");
+      });
+    });
   }
 
   /// Guards against a host that learns the table of the copy when it starts,
@@ -536,7 +593,7 @@
     fleet.WriteTarget("t");
     const auto copy = fleet.Store().State();
     fleet.StartAll(3);
-    fleet.RunUntil([&] { return AreListed(fleet, 3, 0); });
+    fleet.RunUntil([&] { return HaveRegistered(fleet, 3); });
     fleet.Store().Return(copy);
     const auto others = TakeLeases(fleet.Store().State(), 3);
     fleet.Store().mDrops = [](int, const std::string& aTarget) {
