--- a/Source/Entry/SiteFeed.cxx
+++ b/Source/Entry/SiteFeed.cxx
@@ -234,13 +234,16 @@
     const bool isAbsent = reply.error().mCode == ErrorCode::kNotFound;
     RecordStoreState(isAbsent, reply.error().mMessage);
     // A store that has come back may be a copy from before the first table.
-    if (!isAbsent || !mContext.mEra.Latest().IsKnown() ||
-        !mContext.mTable.Table()) {
+    if (!isAbsent || !mContext.mEra.Latest().IsKnown()) {
       co_return false;
     }
   }
+  const auto version = mContext.mTable.Version();
+  if (!version) {
+    co_return false;
+  }
   // The store's table is this host's, or an older one of a copy.
-  if (mContext.mTable.ConfirmCurrent(*mContext.mTable.Version(), readStart)) {
+  if (mContext.mTable.ConfirmCurrent(*version, readStart)) {
     mProofs = std::move(proofs);
   }
   if (isNewer) {
--- a/Source/Serving/StoreEra.h
+++ b/Source/Serving/StoreEra.h
@@ -15,6 +15,8 @@
   std::int64_t mNumber = kUnknown;
 
   bool IsKnown() const { return mNumber != kUnknown; }
+  // clang-tidy 14 takes the comparison with 0 inside the default for a pointer.
+  // NOLINTNEXTLINE(modernize-use-nullptr)
   auto operator<=>(const StoreEra&) const = default;
   template<typename Packer>
   void msgpack_pack(Packer& aPacker) const
--- a/Source/Serving/StoreVersion.h
+++ b/Source/Serving/StoreVersion.h
@@ -12,6 +12,8 @@
   std::int64_t mRevision = 0;
 
   bool IsKnown() const { return mRevision > 0; }
+  // clang-tidy 14 takes the comparison with 0 inside the default for a pointer.
+  // NOLINTNEXTLINE(modernize-use-nullptr)
   auto operator<=>(const StoreVersion&) const = default;
   MSGPACK_DEFINE_ARRAY(mEra, mRevision)
 };
--- a/Source/Serving/TableVersion.h
+++ b/Source/Serving/TableVersion.h
@@ -12,6 +12,8 @@
 {
   std::int64_t mNumber = 0;
 
+  // clang-tidy 14 takes the comparison with 0 inside the default for a pointer.
+  // NOLINTNEXTLINE(modernize-use-nullptr)
   auto operator<=>(const TableVersion&) const = default;
   template<typename Packer>
   void msgpack_pack(Packer& aPacker) const
