Entry, Serving: Let hosts that start together count what they heard before

A host that starts learns the era with its first answer of the store, often just after the first messages of others. It then waited for the next message of a host, though it has no table that could be out of date, and the first read of a fleet that starts may confirm nothing. Having heard from another host since the start is enough for it.

Messages state whether they carry versions (mStatesVersions): those of a starting host with neither table nor era could not be told from messages that only carry loads.

Tests: TableTest::TestTableInLaterEra has a section for it, which fails without the change; HostExchangeTest checks the field.

--- a/Source/Entry/HostMessage.h
+++ b/Source/Entry/HostMessage.h
@@ -124,6 +124,8 @@
   /// Version of the store at which the sender's target list was read; not known
   /// in the same cases.
   StoreVersion mListVersion;
+  /// The three above are what the sender has, if anything.
+  bool mStatesVersions = false;
 
   MSGPACK_DEFINE_ARRAY(mHost,
                        mIncarnation,
@@ -160,7 +162,8 @@
                        mCrashReport,
                        mStoreEra,
                        mTableVersion,
-                       mListVersion)
+                       mListVersion,
+                       mStatesVersions)
 };
 
 } // namespace ragwortdeck
--- a/Source/Entry/SiteFeed.cxx
+++ b/Source/Entry/SiteFeed.cxx
@@ -658,6 +658,7 @@
   aMessage.mStoreEra = mContext.mEra.Latest();
   aMessage.mTableVersion = mContext.mTable.Version();
   aMessage.mListVersion = mList.mVersion;
+  aMessage.mStatesVersions = true;
   aMessage.mListFingerprint = mListFingerprint;
   aMessage.mLiveHosts = static_cast<std::uint32_t>(mExchange.CountLiveHosts());
   if (aContent != HostExchange::Content::kAll) {
@@ -862,8 +863,7 @@
   const bool isCurrent =
     mContext.ObserveEra(aMessage.mStoreEra, aMessage.mHost) !=
     EraTracker::Outcome::kOutdated;
-  // Messages that only carry loads, and those of earlier builds, state neither.
-  if (aMessage.mTableVersion || aMessage.mStoreEra.IsKnown()) {
+  if (aMessage.mStatesVersions) {
     mContext.mTable.HostHeard(aMessage.mTableVersion);
   }
   mContext.mLoad.SetPeer(aMessage.mHost, aMessage.mLoads, now);
--- a/Source/Serving/CachedTable.cxx
+++ b/Source/Serving/CachedTable.cxx
@@ -40,7 +40,8 @@
 void
 CachedTable::BeginEra(MonotonicTime aNow)
 {
-  if (!AcceptsKeyedRequests(aNow)) {
+  const bool hasHeardSinceStart = !mTable && mHasHeard;
+  if (!hasHeardSinceStart && !AcceptsKeyedRequests(aNow)) {
     mSearchBegan = aNow;
   }
 }
@@ -48,6 +49,7 @@
 void
 CachedTable::HostHeard(std::optional<TableVersion> aVersion)
 {
+  mHasHeard = true;
   mNewestHeard = std::max(mNewestHeard, aVersion);
   mSearchBegan.reset();
 }
--- a/Source/Serving/CachedTable.h
+++ b/Source/Serving/CachedTable.h
@@ -40,7 +40,8 @@
 /// hosts have. So no table is confirmed while a newer one is known to exist;
 /// and a host whose table was not known to be current when the era began
 /// confirms none before it has heard from another host, for at most
-/// kHostSearch.
+/// kHostSearch. For one without a table, as after a start, it is enough to have
+/// heard from another host before.
 class CachedTable
 {
 public:
@@ -96,6 +97,7 @@
   Bounds mBounds;
   std::shared_ptr<const ServingTable> mTable;
   std::optional<MonotonicTime> mConfirmedAt;
+  bool mHasHeard = false;
   std::optional<TableVersion> mNewestHeard;
   /// When this host began to wait for another one; unset while it does not.
   std::optional<MonotonicTime> mSearchBegan;
--- a/Tests/Entry/HostExchangeTest.cxx
+++ b/Tests/Entry/HostExchangeTest.cxx
@@ -266,6 +266,7 @@
     message.mStoreEra = { 2 };
     message.mTableVersion = TableVersion{ 7 };
     message.mListVersion = { { 2 }, 9 };
+    message.mStatesVersions = true;
     const auto bytes = Pack(message);
     const auto unpackWithout = [&](std::uint32_t aLast) {
       const auto handle = UnpackBounded(bytes.data(), bytes.size());
@@ -276,15 +277,16 @@
       return read;
     };
     Section("a message of a version without reports of crashes", [&] {
-      CPPUNIT_ASSERT(unpackWithout(4).mCrashReport.IsEmpty());
-      CPPUNIT_ASSERT(unpackWithout(4).mAllCopied);
+      CPPUNIT_ASSERT(unpackWithout(5).mCrashReport.IsEmpty());
+      CPPUNIT_ASSERT(unpackWithout(5).mAllCopied);
     });
     Section("one of a version without eras of the store has no contents", [&] {
-      const auto read = unpackWithout(3);
+      const auto read = unpackWithout(4);
       CPPUNIT_ASSERT(read.mCrashReport == message.mCrashReport);
       CPPUNIT_ASSERT(!read.mStoreEra.IsKnown());
       CPPUNIT_ASSERT(!read.mTableVersion);
       CPPUNIT_ASSERT(!read.mListVersion.IsKnown());
+      CPPUNIT_ASSERT(!read.mStatesVersions);
     });
     Section("a message of this version", [&] {
       const auto read = unpackWithout(0);
@@ -292,6 +294,7 @@
       CPPUNIT_ASSERT(read.mStoreEra == message.mStoreEra);
       CPPUNIT_ASSERT(read.mTableVersion == message.mTableVersion);
       CPPUNIT_ASSERT(read.mListVersion == message.mListVersion);
+      CPPUNIT_ASSERT(read.mStatesVersions);
     });
   }
 
--- a/Tests/Entry/StoreReturnTest.cxx
+++ b/Tests/Entry/StoreReturnTest.cxx
@@ -635,6 +635,7 @@
       it.mListVersion = { { aEra }, 999 };
       it.mListFingerprint = 1;
       it.mList = PackedList("foreign");
+      it.mStatesVersions = true;
       return it;
     };
     const auto send = [&](const HostMessage& aMessage) {
--- a/Tests/Serving/TableTest.cxx
+++ b/Tests/Serving/TableTest.cxx
@@ -219,6 +219,14 @@
               cached.ConfirmCurrent({ 5 }, At(100));
               CPPUNIT_ASSERT(!accepts(cached, 100));
             });
+    Section("but it may have heard from another host before", [&] {
+      CachedTable cached({ milliseconds(4700), milliseconds(1700) });
+      cached.HostHeard(std::nullopt);
+      cached.BeginEra(At(0));
+      cached.Apply(MakeTable(5, teams));
+      cached.ConfirmCurrent({ 5 }, At(100));
+      CPPUNIT_ASSERT(accepts(cached, 100));
+    });
   }
 
   /// Guards against routes that are open to everybody once all teams, or all
