--- a/Tests/Entry/StoreReturnTest.cxx
+++ b/Tests/Entry/StoreReturnTest.cxx
@@ -134,6 +134,17 @@
          hosts.size() == static_cast<std::size_t>(aCount);
 }
 
+/// Starts aCount hosts, with the table 10 and the target "t"; returns a copy of
+/// the store.
+StoreState
+Begin(SiteFleet& aFleet, int aCount, const std::vector<std::string>& aKeys)
+{
+  aFleet.WriteTable(10, aKeys);
+  aFleet.WriteTarget("t");
+  aFleet.StartAll(aCount);
+  return aFleet.Store().State();
+}
+
 } // namespace
 
 /// \brief Tests hosts whose store comes back from an older copy of itself.
@@ -168,15 +179,11 @@
   void TestRevisionOfLostTable()
   {
     SiteFleet fleet;
-    fleet.WriteTable(10, { "first", "second", "steady" });
-    fleet.WriteTarget("t");
-    fleet.StartAll(3);
-    const auto copy = fleet.Store().State();
+    const auto copy = Begin(fleet, 3, { "first", "second", "steady" });
     fleet.WriteTarget("u");
     const auto lost = fleet.WriteTable(14, { "first", "steady" });
     fleet.RunUntil([&] { return HaveTable(fleet, 14); });
-    fleet.Store().Leave();
-    fleet.Store().Return(copy);
+    fleet.Store().LeaveAndReturn(copy);
     fleet.WriteTable(14, { "first", "steady" });
     CPPUNIT_ASSERT_EQUAL(lost, fleet.WriteTable(19, { "steady" }));
     Section("the next table comes into force on all hosts", [&] {
@@ -204,8 +211,7 @@
       fleet.WriteTable(version, { "steady" }, { "old" });
     }
     fleet.RunUntil([&] { return HaveTable(fleet, 14); });
-    fleet.Store().Leave();
-    fleet.Store().Return(copy);
+    fleet.Store().LeaveAndReturn(copy);
     fleet.WriteTable(14, { "steady" }, { "old" });
     Section("the table that is written again confirms the one that hosts have",
             [&] {
@@ -227,14 +233,10 @@
   void TestOlderTable()
   {
     SiteFleet fleet;
-    fleet.WriteTable(10, { "removed", "steady" });
-    fleet.WriteTarget("t");
-    fleet.StartAll(3);
-    const auto copy = fleet.Store().State();
+    const auto copy = Begin(fleet, 3, { "removed", "steady" });
     fleet.WriteTable(14, { "steady" });
     fleet.RunUntil([&] { return HaveTable(fleet, 14); });
-    fleet.Store().Leave();
-    fleet.Store().Return(copy);
+    fleet.Store().LeaveAndReturn(copy);
     Section("until the operator has written it again, the newer one holds",
             [&] {
               fleet.RunFor(kLongerThanProof, [&] {
@@ -245,8 +247,7 @@
     Section("a copy from before the first table changes nothing either", [&] {
       auto empty = copy;
       empty.mItems.erase("op/config");
-      fleet.Store().Leave();
-      fleet.Store().Return(empty);
+      fleet.Store().LeaveAndReturn(empty);
       fleet.RunFor(kLongerThanProof, [&] {
         CPPUNIT_ASSERT(NoneAdmits(fleet, "removed"));
         CPPUNIT_ASSERT(AllAdmit(fleet, "steady"));
@@ -265,14 +266,10 @@
     }
     auto removed = keys;
     removed.emplace_back("removed");
-    fleet.WriteTable(10, removed);
-    fleet.WriteTarget("t");
-    fleet.StartAll(3);
-    const auto copy = fleet.Store().State();
+    const auto copy = Begin(fleet, 3, removed);
     fleet.WriteTable(14, removed);
     fleet.RunUntil([&] { return HaveTable(fleet, 14); });
-    fleet.Store().Leave();
-    fleet.Store().Return(copy);
+    fleet.Store().LeaveAndReturn(copy);
     fleet.Store().mDrops = [](int aHost, const std::string&) {
       return aHost != 0;
     };
@@ -290,19 +287,15 @@
   void TestRevisionBelowLostList()
   {
     SiteFleet fleet;
-    fleet.WriteTable(10, { "steady" });
-    fleet.WriteTarget("t");
     fleet.WriteTarget("u");
-    fleet.StartAll(3);
-    const auto copy = fleet.Store().State();
+    const auto copy = Begin(fleet, 3, { "steady" });
     // More than the entries of the hosts themselves.
     for (int warmUp = 20; warmUp > 0; --warmUp) {
       fleet.WriteTarget("u", "ready", 1000, warmUp);
     }
     const auto lost = fleet.Store().State().mRevision;
     fleet.RunUntil([&] { return HaveList(fleet, { { 1 }, lost }); });
-    fleet.Store().Leave();
-    fleet.Store().Return(copy);
+    fleet.Store().LeaveAndReturn(copy);
     fleet.WriteTarget("u");
     fleet.RunFor(milliseconds(500));
     fleet.WriteTarget("t", "draining");
@@ -316,17 +309,13 @@
   void TestRevisionOfLostList()
   {
     SiteFleet fleet;
-    fleet.WriteTable(10, { "steady" });
-    fleet.WriteTarget("t");
     fleet.WriteTarget("u");
-    fleet.StartAll(3);
-    const auto copy = fleet.Store().State();
+    const auto copy = Begin(fleet, 3, { "steady" });
     fleet.WriteTarget("u", "ready", 1000, 500);
     fleet.WriteTarget("u", "ready", 1000, 1);
     const auto lost = fleet.Store().State().mRevision;
     fleet.RunUntil([&] { return HaveList(fleet, { { 1 }, lost }); });
-    fleet.Store().Leave();
-    fleet.Store().Return(copy);
+    fleet.Store().LeaveAndReturn(copy);
     fleet.WriteTarget("t", "draining");
     fleet.WriteTarget("u");
     CPPUNIT_ASSERT_EQUAL(lost, fleet.Store().State().mRevision);
@@ -339,10 +328,7 @@
   void TestWatchAnsweredInLaterEra()
   {
     SiteFleet fleet;
-    fleet.WriteTable(10, { "steady" });
-    fleet.WriteTarget("t");
-    fleet.StartAll(2);
-    const auto copy = fleet.Store().State();
+    const auto copy = Begin(fleet, 2, { "steady" });
     fleet.WriteTarget("t", "draining");
     fleet.RunUntil([&] { return NoneUses(fleet, "t"); });
     const auto isWatch = [](const std::string& aTarget) {
@@ -392,8 +378,7 @@
       CPPUNIT_ASSERT(AllUse(fleet, "new"));
       CPPUNIT_ASSERT(AllUse(fleet, "steady"));
     };
-    fleet.Store().Leave();
-    fleet.Store().Return(copy);
+    fleet.Store().LeaveAndReturn(copy);
     Section("one that left is not used again, and a new one is kept", [&] {
       fleet.RunUntil([&] {
         check();
@@ -417,19 +402,15 @@
   void TestTwoReturns()
   {
     SiteFleet fleet;
-    fleet.WriteTable(10, { "removed", "steady" });
-    fleet.WriteTarget("t");
     fleet.WriteTarget("u");
-    fleet.StartAll(3);
-    const auto copy = fleet.Store().State();
+    const auto copy = Begin(fleet, 3, { "removed", "steady" });
     for (int warmUp = 1; warmUp < 10; ++warmUp) {
       fleet.WriteTarget("u", "ready", 1000, warmUp);
     }
     fleet.WriteTable(14, { "removed", "steady" });
     fleet.RunUntil([&] { return HaveTable(fleet, 14); });
     for (const int version : { 15, 16 }) {
-      fleet.Store().Leave();
-      fleet.Store().Return(copy);
+      fleet.Store().LeaveAndReturn(copy);
       fleet.WriteTable(version, { "removed", "steady" });
       fleet.WriteTarget("u", "ready", 1000, version);
       fleet.RunFor(milliseconds(300));
@@ -449,11 +430,8 @@
   void TestHangingWatches()
   {
     SiteFleet fleet;
-    fleet.WriteTable(10, { "steady" });
-    fleet.WriteTarget("t");
     fleet.WriteTarget("u");
-    fleet.StartAll(3);
-    const auto copy = fleet.Store().State();
+    const auto copy = Begin(fleet, 3, { "steady" });
     for (int i = 0; i < 3; ++i) {
       fleet.Store().HoldWatches(i);
     }
@@ -480,10 +458,7 @@
   void TestHostAtLostStore()
   {
     SiteFleet fleet;
-    fleet.WriteTable(10, { "removed", "steady" });
-    fleet.WriteTarget("t");
-    fleet.StartAll(3);
-    const auto copy = fleet.Store().State();
+    const auto copy = Begin(fleet, 3, { "removed", "steady" });
     fleet.WriteTable(14, { "removed", "steady" });
     fleet.WriteTarget("t", "ready", 1000, 1);
     fleet.RunUntil([&] { return HaveTable(fleet, 14); });
@@ -521,14 +496,10 @@
   void TestStartingHost()
   {
     SiteFleet fleet;
-    fleet.WriteTable(10, { "removed", "steady" });
-    fleet.WriteTarget("t");
-    fleet.StartAll(3);
-    const auto copy = fleet.Store().State();
+    const auto copy = Begin(fleet, 3, { "removed", "steady" });
     fleet.WriteTable(14, { "steady" });
     fleet.RunUntil([&] { return HaveTable(fleet, 14); });
-    fleet.Store().Leave();
-    fleet.Store().Return(copy);
+    fleet.Store().LeaveAndReturn(copy);
     Section("it gets the newer one from them", [&] {
       const auto& host = fleet.Start(3);
       fleet.RunUntil([&] {
@@ -555,18 +526,14 @@
   void TestFrozenHost()
   {
     SiteFleet fleet;
-    fleet.WriteTable(10, { "removed", "steady" });
-    fleet.WriteTarget("t");
-    fleet.StartAll(3);
-    const auto copy = fleet.Store().State();
+    const auto copy = Begin(fleet, 3, { "removed", "steady" });
     auto& frozen = fleet.At(2);
     frozen.mIsFrozen = true;
     fleet.WriteTable(14, { "steady" });
     fleet.WriteTarget("t", "draining");
     fleet.RunFor(kLongerThanProof);
     CPPUNIT_ASSERT_EQUAL(std::int64_t(14), fleet.At(0).TableVersion());
-    fleet.Store().Leave();
-    fleet.Store().Return(copy);
+    fleet.Store().LeaveAndReturn(copy);
     fleet.RunFor(milliseconds(500));
     frozen.mIsFrozen = false;
     fleet.RunUntil([&] {
@@ -585,8 +552,7 @@
     const auto copy = fleet.Store().State();
     fleet.StartAll(3);
     fleet.RunUntil([&] { return AreListed(fleet, 3, 0); });
-    fleet.Store().Leave();
-    fleet.Store().Return(copy);
+    fleet.Store().LeaveAndReturn(copy);
     auto& state = fleet.Store().State();
     const auto others = TakeLeases(state, 3);
     fleet.RunUntil([&] { return AreListed(fleet, 3, others); });
@@ -790,10 +756,7 @@
   {
     constexpr int kHosts = 12;
     SiteFleet fleet;
-    fleet.WriteTable(10, { "steady" });
-    fleet.WriteTarget("t");
-    fleet.StartAll(kHosts);
-    const auto copy = fleet.Store().State();
+    const auto copy = Begin(fleet, kHosts, { "steady" });
     fleet.WriteTable(14, { "steady" });
     fleet.WriteTarget("u");
     fleet.RunUntil([&] { return HaveTable(fleet, 14); });
--- a/Tests/Entry/StoreStandIn.h
+++ b/Tests/Entry/StoreStandIn.h
@@ -65,6 +65,11 @@
   void Leave();
   /// Comes back from aCopy, in the next era.
   void Return(StoreState aCopy);
+  void LeaveAndReturn(const StoreState& aCopy)
+  {
+    Leave();
+    Return(aCopy);
+  }
   /// Answers aHost from a state that the store has lost; null ends that.
   void AnswerFrom(int aHost, std::shared_ptr<StoreState> aState);
   /// Delays the answers to watches of aHost until Release(); each keeps the
